--- a/crates/gw-agreement/src/replica_node.rs
+++ b/crates/gw-agreement/src/replica_node.rs
@@ -319,6 +319,11 @@
         }
     }
 
+    /// When this replica last heard from a leader, or started.
+    pub fn heard_leader_at(&self) -> Timestamp {
+        self.heard_leader
+    }
+
     /// When this replica became leader. Leases that an earlier leader granted may run until one
     /// full lease later.
     pub fn leader_since(&self) -> Option<Timestamp> {
--- /dev/null
+++ b/crates/gw-balance/src/target_line.rs
@@ -0,0 +1,135 @@
+use std::time::Duration;
+
+use gw_fleet::TargetPhase;
+use gw_fleet::TargetRecord;
+use gw_types::Timestamp;
+
+use crate::RunEnd;
+
+/// Weight of the newest run in the moving averages.
+const AVERAGE_WEIGHT: f64 = 0.2;
+/// Age at which an average no longer says anything, so that the target is tried again.
+const AVERAGE_AGE: Duration = Duration::from_secs(4);
+/// First pause after a failure; doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause after failures. A target that is back is tried within this time.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Pause after a refusal: the target is full for about one run.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(40);
+/// Failures in a row after which a target is paused. One failure alone may be the request's fault.
+const PAUSE_FAILURES: u32 = 2;
+
+/// One target as this host sees it.
+#[derive(Clone, Debug)]
+pub struct TargetLine {
+    /// What it announced.
+    pub record: TargetRecord,
+    /// Whether it is in this host's availability zone.
+    pub is_near: bool,
+    /// Whether this host prefers it over the other targets of its zone.
+    pub is_home: bool,
+    /// Requests of this host that it has and that have not ended.
+    pub in_flight: u32,
+    /// When this host learnt that the target drains.
+    pub(crate) draining_since: Option<Timestamp>,
+    /// Average time of a run, in seconds; `None` without a recent run.
+    run_time: Option<f64>,
+    /// Share of runs that failed, 0 to 1, as a moving average.
+    failure_share: f64,
+    /// Failures in a row.
+    failures: u32,
+    paused_until: Timestamp,
+    last_end: Timestamp,
+}
+
+impl TargetLine {
+    pub(crate) fn new(record: TargetRecord, now: Timestamp) -> Self {
+        Self {
+            record,
+            is_near: false,
+            is_home: false,
+            in_flight: 0,
+            draining_since: None,
+            run_time: None,
+            failure_share: 0.0,
+            failures: 0,
+            paused_until: Timestamp::ZERO,
+            last_end: now,
+        }
+    }
+
+    /// Average time of a run in seconds, unless it is too old.
+    pub fn run_time(&self, now: Timestamp) -> Option<f64> {
+        self.run_time.filter(|_| now.since(self.last_end) < AVERAGE_AGE || self.in_flight > 0)
+    }
+
+    /// Failures in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Whether requests may be sent to it.
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        self.record.phase == TargetPhase::Serving && !self.is_paused(now)
+    }
+
+    /// Whether it is left alone after failures.
+    pub fn is_paused(&self, now: Timestamp) -> bool {
+        now < self.paused_until
+    }
+
+    /// Expected time in seconds until an answer to a further request, by which targets are
+    /// compared. `typical` is the run time of the service's targets.
+    pub(crate) fn cost(&self, now: Timestamp, typical: f64, far_penalty: f64) -> f64 {
+        let run_time = self.run_time(now).unwrap_or(typical);
+        let slots = f64::from(self.record.work_slots.max(1));
+        let turns = (f64::from(self.in_flight + 1) / slots).max(1.0);
+        let success = (1.0 - self.failure_share).max(0.1);
+        let away = if self.is_near { 0.0 } else { far_penalty };
+        // Other hosts send to targets that are not at home here.
+        let foreign = if self.is_home { 1.0 } else { 1.2 };
+        run_time * turns * foreign / (success * success) + away
+    }
+
+    /// Follows a newer announcement of the same run.
+    pub(crate) fn renew(&mut self, record: &TargetRecord, now: Timestamp) {
+        self.record = record.clone();
+        if record.phase == TargetPhase::Draining {
+            self.draining_since.get_or_insert(now);
+        }
+    }
+
+    pub(crate) fn note_end(&mut self, now: Timestamp, end: RunEnd) {
+        let is_failure = match end {
+            RunEnd::Cancelled => return,
+            RunEnd::Refused => {
+                self.paused_until = self.paused_until.max(now + REFUSAL_PAUSE);
+                return;
+            }
+            RunEnd::Answered { elapsed, is_failure } => {
+                self.note_run_time(elapsed.as_secs_f64());
+                is_failure
+            }
+            RunEnd::Broken | RunEnd::Unanswered => true,
+        };
+        self.last_end = now;
+        self.failure_share +=
+            AVERAGE_WEIGHT * (f64::from(u8::from(is_failure)) - self.failure_share);
+        if !is_failure {
+            self.failures = 0;
+            return;
+        }
+        self.failures += 1;
+        let is_silent = matches!(end, RunEnd::Broken | RunEnd::Unanswered);
+        if is_silent && self.failures >= PAUSE_FAILURES {
+            let doublings = (self.failures - PAUSE_FAILURES).min(4);
+            let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE);
+            self.paused_until = now + pause;
+        }
+    }
+
+    fn note_run_time(&mut self, seconds: f64) {
+        let average = self.run_time.get_or_insert(seconds);
+        *average += AVERAGE_WEIGHT * (seconds - *average);
+    }
+}
--- a/crates/gw-daemon/src/control/journal_writer.rs
+++ b/crates/gw-daemon/src/control/journal_writer.rs
@@ -30,13 +30,13 @@
 }
 
 /// Writes a replica's state to its data folder.
-pub(crate) struct JournalWriter {
+pub struct JournalWriter {
     journal: Journal,
 }
 
 impl JournalWriter {
     /// Opens the data folder and reads what the replica had synced.
-    pub(crate) fn open(folder: &Path) -> Result<(Self, RecoveredState), JournalError> {
+    pub fn open(folder: &Path) -> Result<(Self, RecoveredState), JournalError> {
         let storage = FileStorage::new(folder)?;
         let (journal, recovered) = Journal::open(Box::new(storage), JournalOptions::default())?;
         if recovered.cut_bytes > 0 {
@@ -46,7 +46,7 @@
     }
 
     /// Writes and syncs one batch.
-    pub(crate) fn write(&mut self, batch: &PersistBatch) -> Result<(), JournalError> {
+    pub fn write(&mut self, batch: &PersistBatch) -> Result<(), JournalError> {
         if let Some(from) = batch.truncate_from {
             self.journal.truncate_from(from.0)?;
         }
--- a/crates/gw-daemon/src/control/mod.rs
+++ b/crates/gw-daemon/src/control/mod.rs
@@ -14,3 +14,4 @@
 pub use control_thread::ControlStartError;
 pub use control_thread::start_control;
 pub use journal_writer::JournalError;
+pub use journal_writer::JournalWriter;
--- a/crates/gw-daemon/src/http/hop_fields.rs
+++ b/crates/gw-daemon/src/http/hop_fields.rs
@@ -17,7 +17,7 @@
 
 /// Removes the fields of one connection (RFC 9110, section 7.6.1). Trailers are dropped, so
 /// `Trailer` goes too.
-pub(crate) fn remove_hop_fields(headers: &mut HeaderMap) {
+pub fn remove_hop_fields(headers: &mut HeaderMap) {
     if headers.contains_key(header::CONNECTION) {
         for name in named_by_connection(headers) {
             headers.remove(name);
--- a/crates/gw-daemon/src/http/mod.rs
+++ b/crates/gw-daemon/src/http/mod.rs
@@ -20,7 +20,7 @@
 pub(crate) use head_scanner::HeadVerdict;
 pub(crate) use head_scanner::VerdictQueue;
 pub(crate) use header_names::*;
-pub(crate) use hop_fields::remove_hop_fields;
+pub use hop_fields::remove_hop_fields;
 pub(crate) use hop_fields::remove_internal_fields;
 pub(crate) use request_body::BodyProgress;
 pub(crate) use request_body::RequestBody;
--- a/crates/gw-daemon/src/lib.rs
+++ b/crates/gw-daemon/src/lib.rs
@@ -24,6 +24,7 @@
 mod traffic;
 
 pub use boot_clock::BootClock;
+pub use http::remove_hop_fields;
 pub use listen::ApiFuture;
 pub use listen::ApiReply;
 pub use listen::ApiRequest;
--- a/crates/gw-dispatch/src/retry_budget.rs
+++ b/crates/gw-dispatch/src/retry_budget.rs
@@ -9,6 +9,10 @@
 /// Retries that a quiet service may make regardless of its share; refilled by one each second.
 /// Without it, a service with few requests could never retry.
 const FLOOR_TOKENS: f64 = 3.0;
+/// Tokens by which the default floor is refilled each second.
+const FLOOR_REFILL_PER_SECOND: f64 = 1.0;
+/// Length of the window.
+const WINDOW_LENGTH: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct WindowPart {
@@ -20,12 +24,17 @@
 /// Bounds retries to a share of the requests of the last 10 s.
 ///
 /// Invariant: within any window, retries never exceed the share of its requests, plus those taken
-/// from the floor, which is a bucket of 3 tokens refilled by one each second.
+/// from the floor. Without another setting, the floor is a bucket of 3 tokens refilled by one each
+/// second.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     share: f64,
     parts: [WindowPart; PART_COUNT],
+    /// Size of the floor's bucket.
+    floor: f64,
     floor_tokens: f64,
+    /// Tokens by which the floor's bucket is refilled each second.
+    refill_per_second: f64,
     refilled: Timestamp,
 }
 
@@ -33,7 +42,20 @@
     /// A budget of `share` of the requests, 0 to 1.
     pub fn new(share: f64, now: Timestamp) -> Self {
         let parts = [WindowPart::default(); PART_COUNT];
-        Self { share: share.clamp(0.0, 1.0), parts, floor_tokens: FLOOR_TOKENS, refilled: now }
+        let floor = FLOOR_TOKENS;
+        let share = share.clamp(0.0, 1.0);
+        let refill_per_second = FLOOR_REFILL_PER_SECOND;
+        Self { share, parts, floor, floor_tokens: floor, refill_per_second, refilled: now }
+    }
+
+    /// Bounds the retries regardless of the share to `retries` within any window.
+    ///
+    /// A full bucket of half as many tokens that is refilled within a window gives out at most that
+    /// many in one window.
+    pub fn set_floor(&mut self, retries: f64) {
+        self.floor = retries.max(0.0) / 2.0;
+        self.floor_tokens = self.floor_tokens.min(self.floor);
+        self.refill_per_second = self.floor / WINDOW_LENGTH.as_secs_f64();
     }
 
     /// Puts a changed share in force.
@@ -62,8 +84,8 @@
     }
 
     fn refill(&mut self, now: Timestamp) {
-        let earned = now.since(self.refilled).as_secs_f64();
-        self.floor_tokens = (self.floor_tokens + earned).min(FLOOR_TOKENS);
+        let earned = now.since(self.refilled).as_secs_f64() * self.refill_per_second;
+        self.floor_tokens = (self.floor_tokens + earned).min(self.floor);
         self.refilled = self.refilled.max(now);
     }
 
--- /dev/null
+++ b/crates/gw-fleet/src/fleet_command.rs
@@ -0,0 +1,71 @@
+use std::net::SocketAddr;
+
+use gw_ranges::RangeCommand;
+use gw_routing::ConfigVersion;
+use gw_types::HostId;
+use gw_types::TargetName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::DepartureCause;
+use crate::StoredConfig;
+use crate::TargetRecord;
+
+/// A replicated change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FleetCommand {
+    /// Gives a replica an id, or returns the one that the same data folder has.
+    AddReplica {
+        /// The id of a first member, which follows from the settings; `None` for a new one.
+        id: Option<HostId>,
+        /// Names the data folder.
+        folder: u64,
+        /// Where other hosts reach it.
+        peers: SocketAddr,
+        /// Where targets and operators reach it.
+        calls: SocketAddr,
+    },
+    /// Removes a replica.
+    RemoveReplica {
+        /// The replica.
+        id: HostId,
+    },
+    /// Puts a configuration in force if its version is higher than the one in force.
+    SetConfig(StoredConfig),
+    /// Adds or updates a target.
+    PutTarget(TargetRecord),
+    /// Removes a target.
+    RemoveTarget {
+        /// The target.
+        name: TargetName,
+        /// The run that is meant; `None` for whichever is known.
+        run: Option<u64>,
+        /// Why.
+        cause: DepartureCause,
+    },
+    /// Changes a range table.
+    ChangeRanges(RangeCommand),
+}
+
+impl FleetCommand {
+    /// The command for entry hosts, without the configuration's document.
+    pub fn for_entry_hosts(&self) -> Self {
+        match self {
+            Self::SetConfig(config) => Self::SetConfig(config.without_document()),
+            other => other.clone(),
+        }
+    }
+}
+
+/// What a command did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FleetOutcome {
+    /// It is in effect.
+    Applied,
+    /// It had no effect, since something newer is known.
+    Superseded,
+    /// The replica has this id.
+    Replica(HostId),
+    /// This version is in force.
+    Config(ConfigVersion),
+}
--- /dev/null
+++ b/crates/gw-fleet/src/fleet_state.rs
@@ -0,0 +1,247 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use gw_ranges::RangeCommand;
+use gw_ranges::RangeTable;
+use gw_routing::ConfigVersion;
+use gw_routing::RoutingConfig;
+use gw_types::HostId;
+use gw_types::ServiceName;
+use gw_types::TargetName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::DepartedTarget;
+use crate::DepartureCause;
+use crate::FleetCommand;
+use crate::FleetOutcome;
+use crate::ReplicaRecord;
+use crate::StoredConfig;
+use crate::TargetPhase;
+use crate::TargetRecord;
+
+/// Departed targets kept. More than leave while a late announcement can be under way.
+const DEPARTED_KEPT: usize = 1024;
+
+/// Why a snapshot cannot be read.
+#[derive(Debug, thiserror::Error)]
+#[error("snapshot of the fleet state: {0}")]
+pub struct SnapshotError(#[from] postcard::Error);
+
+/// The state that the control log builds. Deterministic: equal logs give equal states.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetState {
+    /// Sorted by id.
+    replicas: Vec<ReplicaRecord>,
+    /// The highest id that was given.
+    last_replica: u16,
+    /// Its version never decreases.
+    config: Option<StoredConfig>,
+    /// Sorted by name. No two have the same address.
+    targets: Vec<TargetRecord>,
+    /// In the order of removal; bounded.
+    departed: Vec<DepartedTarget>,
+    /// Sorted by service.
+    tables: Vec<(ServiceName, RangeTable)>,
+    /// The last fencing token that was given. Never decreases.
+    last_fence: u64,
+}
+
+impl FleetState {
+    /// Applies the next command of the log.
+    pub fn apply(&mut self, command: &FleetCommand) -> FleetOutcome {
+        match command {
+            FleetCommand::AddReplica { id, folder, peers, calls } => {
+                self.add_replica(*id, *folder, *peers, *calls)
+            }
+            FleetCommand::RemoveReplica { id } => {
+                self.replicas.retain(|replica| replica.id != *id);
+                FleetOutcome::Applied
+            }
+            FleetCommand::SetConfig(config) => {
+                let is_newer = config.routing.version > self.config_version();
+                if is_newer || self.config.is_none() {
+                    self.config = Some(config.clone());
+                }
+                FleetOutcome::Config(self.config_version())
+            }
+            FleetCommand::PutTarget(record) => self.put_target(record),
+            FleetCommand::RemoveTarget { name, run, cause } => {
+                self.remove_target(name, *run, *cause)
+            }
+            FleetCommand::ChangeRanges(change) => self.change_ranges(change),
+        }
+    }
+
+    fn add_replica(
+        &mut self,
+        id: Option<HostId>,
+        folder: u64,
+        peers: SocketAddr,
+        calls: SocketAddr,
+    ) -> FleetOutcome {
+        let is_same = |replica: &&ReplicaRecord| replica.folder == folder || Some(replica.id) == id;
+        if let Some(known) = self.replicas.iter().find(is_same) {
+            return FleetOutcome::Replica(known.id);
+        }
+        let id = id.unwrap_or(HostId(self.last_replica + 1));
+        self.last_replica = self.last_replica.max(id.0);
+        let record = ReplicaRecord { id, folder, peers, calls };
+        let position = self.replicas.partition_point(|replica| replica.id < id);
+        self.replicas.insert(position, record);
+        FleetOutcome::Replica(id)
+    }
+
+    fn put_target(&mut self, record: &TargetRecord) -> FleetOutcome {
+        let is_late = |departed: &DepartedTarget| {
+            departed.cause != DepartureCause::Silent
+                && departed.record.name == record.name
+                && departed.record.run >= record.run
+        };
+        if self.departed.iter().any(is_late) {
+            return FleetOutcome::Superseded;
+        }
+        let is_other =
+            |other: &&TargetRecord| other.address == record.address && other.name != record.name;
+        if let Some(other) = self.targets.iter().find(is_other).cloned() {
+            if other.run > record.run {
+                return FleetOutcome::Superseded;
+            }
+            self.remove_target(&other.name, None, DepartureCause::Ended);
+        }
+        match self.targets.binary_search_by(|known| known.name.cmp(&record.name)) {
+            Err(position) => {
+                self.departed.retain(|departed| departed.record.name != record.name);
+                self.targets.insert(position, record.clone());
+            }
+            Ok(index) => {
+                let known = &mut self.targets[index];
+                if known.run > record.run {
+                    return FleetOutcome::Superseded;
+                }
+                let is_draining = known.run == record.run && known.phase == TargetPhase::Draining;
+                *known = record.clone();
+                if is_draining {
+                    known.phase = TargetPhase::Draining;
+                }
+            }
+        }
+        FleetOutcome::Applied
+    }
+
+    fn remove_target(
+        &mut self,
+        name: &TargetName,
+        run: Option<u64>,
+        cause: DepartureCause,
+    ) -> FleetOutcome {
+        let found = self.targets.binary_search_by(|known| known.name.cmp(name));
+        let index = match found {
+            Ok(index) if run.is_none_or(|run| run == self.targets[index].run) => index,
+            _ => {
+                // A target that was given up says now that it leaves.
+                let silent =
+                    self.departed.iter_mut().find(|departed| departed.record.name == *name);
+                if let Some(departed) = silent.filter(|_| cause == DepartureCause::Left) {
+                    departed.cause = cause;
+                }
+                return FleetOutcome::Superseded;
+            }
+        };
+        let record = self.targets.remove(index);
+        self.departed.retain(|departed| departed.record.name != record.name);
+        self.departed.push(DepartedTarget { record, cause });
+        if self.departed.len() > DEPARTED_KEPT {
+            self.departed.remove(0);
+        }
+        FleetOutcome::Applied
+    }
+
+    fn change_ranges(&mut self, change: &RangeCommand) -> FleetOutcome {
+        let mut is_changed = false;
+        match change {
+            RangeCommand::Announce { service, moves } => {
+                let table = self.table_mut(service);
+                for transfer in moves {
+                    is_changed |= table.announce(transfer);
+                }
+            }
+            RangeCommand::Assign { service, moves } => {
+                let fence = self.last_fence + 1;
+                let table = self.table_mut(service);
+                for transfer in moves {
+                    is_changed |= table.assign(transfer, fence);
+                }
+                self.last_fence = fence;
+            }
+        }
+        if is_changed { FleetOutcome::Applied } else { FleetOutcome::Superseded }
+    }
+
+    fn table_mut(&mut self, service: &ServiceName) -> &mut RangeTable {
+        let found = self.tables.binary_search_by(|(name, _)| name.cmp(service));
+        let index = found.unwrap_or_else(|position| {
+            self.tables.insert(position, (service.clone(), RangeTable::default()));
+            position
+        });
+        &mut self.tables[index].1
+    }
+
+    /// Replicas of the control group, by id.
+    pub fn replicas(&self) -> &[ReplicaRecord] {
+        &self.replicas
+    }
+
+    /// The configuration in force, with the operators' text.
+    pub fn stored_config(&self) -> Option<&StoredConfig> {
+        self.config.as_ref()
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&Arc<RoutingConfig>> {
+        self.config.as_ref().map(|config| &config.routing)
+    }
+
+    /// Version of the configuration in force; 0 without one.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.config().map_or(ConfigVersion::default(), |config| config.version)
+    }
+
+    /// Targets by name.
+    pub fn targets(&self) -> &[TargetRecord] {
+        &self.targets
+    }
+
+    /// The target `name`.
+    pub fn target(&self, name: &TargetName) -> Option<&TargetRecord> {
+        let found = self.targets.binary_search_by(|known| known.name.cmp(name));
+        found.ok().map(|index| &self.targets[index])
+    }
+
+    /// Targets that were removed, in the order of removal.
+    pub fn departed(&self) -> &[DepartedTarget] {
+        &self.departed
+    }
+
+    /// The range table of `service`, if ranges of it were ever assigned.
+    pub fn table(&self, service: &ServiceName) -> Option<&RangeTable> {
+        let found = self.tables.binary_search_by(|(name, _)| name.cmp(service));
+        found.ok().map(|index| &self.tables[index].1)
+    }
+
+    /// The state for entry hosts, without the configuration's document.
+    pub fn for_entry_hosts(&self) -> Self {
+        let config = self.config.as_ref().map(StoredConfig::without_document);
+        Self { config, ..self.clone() }
+    }
+
+    /// The state as bytes.
+    pub fn snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
+        Ok(postcard::to_stdvec(self)?)
+    }
+
+    /// Reads a snapshot.
+    pub fn restore(bytes: &[u8]) -> Result<Self, SnapshotError> {
+        Ok(postcard::from_bytes(bytes)?)
+    }
+}
--- /dev/null
+++ b/crates/gw-fleet/tests/fleet_state.rs
@@ -0,0 +1,196 @@
+//! Rules of the replicated state: what late and conflicting commands do.
+
+use std::sync::Arc;
+
+use gw_fleet::DepartureCause;
+use gw_fleet::FleetCommand;
+use gw_fleet::FleetOutcome;
+use gw_fleet::FleetState;
+use gw_fleet::StoredConfig;
+use gw_fleet::TargetPhase;
+use gw_fleet::TargetRecord;
+use gw_ranges::KeyRange;
+use gw_ranges::RangeCommand;
+use gw_ranges::RangeTransfer;
+use gw_routing::CallerLimits;
+use gw_routing::ConfigVersion;
+use gw_routing::RoutingConfig;
+use gw_types::HostId;
+use gw_types::ServiceName;
+use gw_types::TargetName;
+use gw_types::ZoneName;
+
+fn record(name: &str, run: u64, port: u16, phase: TargetPhase) -> TargetRecord {
+    TargetRecord {
+        name: TargetName::new(name).expect("a valid name"),
+        run,
+        address: ([127, 0, 0, 1], port).into(),
+        service: ServiceName::new("slips").expect("a valid name"),
+        zone: ZoneName::new("a").expect("a valid name"),
+        work_slots: 2,
+        phase,
+    }
+}
+
+fn put(name: &str, run: u64, port: u16, phase: TargetPhase) -> FleetCommand {
+    FleetCommand::PutTarget(record(name, run, port, phase))
+}
+
+fn remove(name: &str, cause: DepartureCause) -> FleetCommand {
+    let name = TargetName::new(name).expect("a valid name");
+    FleetCommand::RemoveTarget { name, run: None, cause }
+}
+
+fn set_config(version: u64, text: &str) -> FleetCommand {
+    let routing = Arc::new(RoutingConfig {
+        version: ConfigVersion(version),
+        limits: CallerLimits::default(),
+        hosts: Vec::new(),
+        services: Vec::new(),
+    });
+    FleetCommand::SetConfig(StoredConfig { routing, document: Arc::from(text.as_bytes()) })
+}
+
+struct TargetCase {
+    name: &'static str,
+    commands: Vec<FleetCommand>,
+    expected: Vec<(&'static str, u64, TargetPhase)>,
+}
+
+/// Guards against late announcements that bring back what has left or was replaced.
+#[test]
+fn late_announcements_change_nothing() {
+    use DepartureCause::Left;
+    use DepartureCause::Silent;
+    use TargetPhase::Draining;
+    use TargetPhase::Serving;
+    let cases = [
+        TargetCase {
+            name: "a run that drains never serves again",
+            commands: vec![put("a", 1, 1, Draining), put("a", 1, 1, Serving)],
+            expected: vec![("a", 1, Draining)],
+        },
+        TargetCase {
+            name: "a later run serves although the earlier one drained",
+            commands: vec![put("a", 1, 1, Draining), put("a", 2, 1, Serving)],
+            expected: vec![("a", 2, Serving)],
+        },
+        TargetCase {
+            name: "an earlier run comes late",
+            commands: vec![put("a", 2, 1, Serving), put("a", 1, 1, Serving)],
+            expected: vec![("a", 2, Serving)],
+        },
+        TargetCase {
+            name: "a target that left comes late",
+            commands: vec![put("a", 1, 1, Serving), remove("a", Left), put("a", 1, 1, Serving)],
+            expected: vec![],
+        },
+        TargetCase {
+            name: "a target that was silent comes back",
+            commands: vec![put("a", 1, 1, Serving), remove("a", Silent), put("a", 1, 1, Serving)],
+            expected: vec![("a", 1, Serving)],
+        },
+        TargetCase {
+            name: "a silent target leaves",
+            commands: vec![
+                put("a", 1, 1, Serving),
+                remove("a", Silent),
+                remove("a", Left),
+                put("a", 1, 1, Serving),
+            ],
+            expected: vec![],
+        },
+        TargetCase {
+            name: "a later target has the address",
+            commands: vec![put("a", 1, 1, Serving), put("b", 2, 1, Serving)],
+            expected: vec![("b", 2, Serving)],
+        },
+        TargetCase {
+            name: "the earlier target at the address comes late",
+            commands: vec![put("b", 2, 1, Serving), put("a", 1, 1, Serving)],
+            expected: vec![("b", 2, Serving)],
+        },
+    ];
+    for case in cases {
+        let mut state = FleetState::default();
+        case.commands.iter().for_each(|command| {
+            state.apply(command);
+        });
+        let found: Vec<_> = state
+            .targets()
+            .iter()
+            .map(|target| (target.name.as_str(), target.run, target.phase))
+            .collect();
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
+
+struct ConfigCase {
+    versions: &'static [u64],
+    in_force: u64,
+}
+
+/// Guards against a configuration that goes back, or changes its content under one version.
+#[test]
+fn highest_version_wins_and_keeps_its_content() {
+    let cases = [
+        ConfigCase { versions: &[1, 3, 2], in_force: 3 },
+        ConfigCase { versions: &[7], in_force: 7 },
+        ConfigCase { versions: &[5, 5, 4], in_force: 5 },
+    ];
+    for case in cases {
+        let mut state = FleetState::default();
+        for (order, version) in case.versions.iter().enumerate() {
+            state.apply(&set_config(*version, &format!("{version} {order}")));
+        }
+        let version = ConfigVersion(case.in_force);
+        assert_eq!(state.config_version(), version);
+        let first = case.versions.iter().position(|&version| version == case.in_force);
+        let text = format!("{} {}", case.in_force, first.expect("in the list"));
+        let stored = state.stored_config().expect("a configuration");
+        assert_eq!(&*stored.document, text.as_bytes());
+        assert_eq!(state.for_entry_hosts().stored_config().map(|c| c.document.len()), Some(0));
+    }
+}
+
+/// Guards against two replicas with one id, and against a wiped disk that gets its old id back.
+#[test]
+fn replica_ids_are_given_once() {
+    let mut state = FleetState::default();
+    let address = ([127, 0, 0, 1], 1).into();
+    let mut add = |id, folder| {
+        state.apply(&FleetCommand::AddReplica { id, folder, peers: address, calls: address })
+    };
+    assert_eq!(add(Some(HostId(1)), 10), FleetOutcome::Replica(HostId(1)));
+    assert_eq!(add(None, 20), FleetOutcome::Replica(HostId(2)));
+    assert_eq!(add(None, 20), FleetOutcome::Replica(HostId(2)));
+    state.apply(&FleetCommand::RemoveReplica { id: HostId(2) });
+    let mut add = |id, folder| {
+        state.apply(&FleetCommand::AddReplica { id, folder, peers: address, calls: address })
+    };
+    assert_eq!(add(None, 30), FleetOutcome::Replica(HostId(3)));
+}
+
+/// Guards against a stale plan that takes keys from their present holder, and against equal tokens.
+#[test]
+fn transfers_need_the_present_fencing_token() {
+    let mut state = FleetState::default();
+    let service = ServiceName::new("slips").expect("a valid name");
+    let to = |name: &str| record(name, 1, 1, TargetPhase::Serving).holder();
+    let mut assign = |range, name: &str, fence| {
+        let moves = vec![RangeTransfer { range, to: to(name), fence }];
+        let command = RangeCommand::Assign { service: service.clone(), moves };
+        state.apply(&FleetCommand::ChangeRanges(command))
+    };
+    assert_eq!(assign(KeyRange::ALL, "a", 0), FleetOutcome::Applied);
+    assert_eq!(assign(KeyRange::ALL, "b", 0), FleetOutcome::Superseded);
+    let upper = KeyRange { first: 100, last: u16::MAX };
+    assert_eq!(assign(upper, "b", 1), FleetOutcome::Applied);
+    assert_eq!(assign(KeyRange::ALL, "c", 1), FleetOutcome::Superseded);
+    let table = state.table(&service).expect("a table");
+    assert_eq!(table.find(99).holder, Some(to("a")));
+    assert_eq!(table.find(100).holder, Some(to("b")));
+    assert!(table.find(100).fence > table.find(99).fence);
+    let snapshot = state.snapshot().expect("a snapshot");
+    assert_eq!(FleetState::restore(&snapshot).expect("a state"), state);
+}
--- /dev/null
+++ b/crates/gw-gateway/src/control/call_flow.rs
@@ -0,0 +1,165 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gw_fleet::DepartureCause;
+use gw_fleet::FleetCommand;
+use gw_fleet::FleetOutcome;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+
+use crate::control::control_host::Asker;
+use crate::control::control_host::ControlHost;
+use crate::link::CallResult;
+use crate::link::LinkMessage;
+use crate::ports::CallError;
+use crate::ports::ControlCall;
+use crate::ports::ControlReply;
+use crate::ports::TargetBeat;
+
+/// Largest body of a call, in bytes: a configuration of thousands of routes.
+const BODY_LIMIT: usize = 16 * 1024 * 1024;
+/// Longest time for a call to be decided. Callers go to another host after a second.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time between two looks whether the own state is as new as a read requires.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Answers a call of a target or an operator.
+pub(crate) async fn answer_call(
+    host: Rc<ControlHost>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let (head, body) = request.into_parts();
+    let path = head.uri.path().to_owned();
+    let body = match Limited::new(body, BODY_LIMIT).collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(error) => {
+            let error = CallError::Body(error.to_string());
+            log::warn!("event=call_refused method={} path={path} cause=\"{error}\"", head.method);
+            return host.dialect.write_error(&error).map(Full::new);
+        }
+    };
+    let call = match host.dialect.read_call(&head.method, &path, &body) {
+        Ok(call) => call,
+        Err(error) => {
+            log::warn!("event=call_refused method={} path={path} cause=\"{error}\"", head.method);
+            return host.dialect.write_error(&error).map(Full::new);
+        }
+    };
+    let reply = decide(&host, call).await;
+    if let ControlReply::Unavailable { reason } = &reply {
+        log::info!("event=call_unavailable method={} path={path} reason={reason}", head.method);
+    }
+    host.dialect.write_reply(&reply).map(Full::new)
+}
+
+async fn decide(host: &Rc<ControlHost>, call: ControlCall) -> ControlReply {
+    match call {
+        ControlCall::Announce(beat) => announce(host, beat).await,
+        ControlCall::Leave { name } => {
+            let command =
+                FleetCommand::RemoveTarget { name, run: None, cause: DepartureCause::Left };
+            commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
+        }
+        ControlCall::PutConfig(config) => {
+            match commit(host, FleetCommand::SetConfig(config)).await {
+                Ok(FleetOutcome::Config(version)) => ControlReply::ConfigHeld(version),
+                Ok(_) => ControlReply::Unavailable { reason: "unexpected outcome" },
+                Err(reply) => reply,
+            }
+        }
+        ControlCall::ReadConfig => read_config(host).await,
+    }
+}
+
+async fn announce(host: &Rc<ControlHost>, beat: TargetBeat) -> ControlReply {
+    let now = host.now();
+    if !host.is_current() {
+        return ControlReply::Unavailable { reason: "no contact with a majority" };
+    }
+    let is_newest = host.watch.borrow_mut().note_beat(now, &beat);
+    if !is_newest {
+        return ControlReply::Accepted;
+    }
+    let name = beat.record.name.clone();
+    let is_known = {
+        let log = host.log.borrow();
+        let state = log.state();
+        let late = state.departed().iter().any(|departed| {
+            departed.record.name == name
+                && departed.record.run >= beat.record.run
+                && departed.cause != DepartureCause::Silent
+        });
+        late || state.target(&name) == Some(&beat.record)
+    };
+    if is_known {
+        if !host.is_leader() {
+            host.heard.borrow_mut().insert(name);
+        }
+        return ControlReply::Accepted;
+    }
+    let command = FleetCommand::PutTarget(beat.record);
+    commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
+}
+
+/// Has a command committed, by the leader if that is another host.
+async fn commit(host: &ControlHost, command: FleetCommand) -> Result<FleetOutcome, ControlReply> {
+    let (sender, receiver) = oneshot::channel();
+    if host.is_leader() {
+        host.propose_as_leader(&command, Asker::Own(sender));
+    } else {
+        ask_leader(host, sender, |call| LinkMessage::Propose { call, command })?;
+    }
+    match tokio::time::timeout(CALL_TIMEOUT, receiver).await {
+        Ok(Ok(CallResult::Committed(outcome))) => Ok(outcome),
+        Ok(_) => Err(ControlReply::Unavailable { reason: "not committed" }),
+        Err(_) => Err(ControlReply::Unavailable { reason: "not committed in time" }),
+    }
+}
+
+fn ask_leader(
+    host: &ControlHost,
+    sender: oneshot::Sender<CallResult>,
+    message: impl FnOnce(u64) -> LinkMessage,
+) -> Result<(), ControlReply> {
+    let Some(link) = host.leader_link() else {
+        return Err(ControlReply::Unavailable { reason: "no leader known" });
+    };
+    let call = host.next_call();
+    host.calls.borrow_mut().retain(|_, waiting| !waiting.is_closed());
+    host.calls.borrow_mut().insert(call, sender);
+    if !link.send(&message(call)) {
+        return Err(ControlReply::Unavailable { reason: "leader not reachable" });
+    }
+    Ok(())
+}
+
+/// Reads the configuration once this host knows everything that was acknowledged before.
+async fn read_config(host: &Rc<ControlHost>) -> ControlReply {
+    let (sender, receiver) = oneshot::channel();
+    if host.is_leader() {
+        host.read_as_leader(Asker::Own(sender));
+    } else if let Err(reply) = ask_leader(host, sender, |call| LinkMessage::ReadFence { call }) {
+        return reply;
+    }
+    let fenced = async {
+        let Ok(CallResult::ReadIndex(index)) = receiver.await else { return false };
+        while host.log.borrow().applied() < index {
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+        true
+    };
+    if !tokio::time::timeout(CALL_TIMEOUT, fenced).await.unwrap_or(false) {
+        return ControlReply::Unavailable { reason: "cannot tell the newest configuration" };
+    }
+    let log = host.log.borrow();
+    match log.state().stored_config() {
+        Some(config) => ControlReply::Config(Bytes::copy_from_slice(&config.document)),
+        None => ControlReply::NoConfig,
+    }
+}
--- /dev/null
+++ b/crates/gw-gateway/src/control/fleet_log.rs
@@ -0,0 +1,70 @@
+use std::collections::VecDeque;
+
+use gw_fleet::FleetCommand;
+use gw_fleet::FleetOutcome;
+use gw_fleet::FleetState;
+
+use crate::link::LinkMessage;
+
+/// Commands kept for entry hosts that follow.
+const KEPT_COMMANDS: usize = 1024;
+
+/// The applied state and the commands that led to it last.
+#[derive(Debug, Default)]
+pub(crate) struct FleetLog {
+    state: FleetState,
+    applied: u64,
+    /// Sorted by index; without operators' texts.
+    recent: VecDeque<(u64, FleetCommand)>,
+    /// All commands after this index are in `recent`.
+    base: u64,
+}
+
+impl FleetLog {
+    /// The state.
+    pub(crate) fn state(&self) -> &FleetState {
+        &self.state
+    }
+
+    /// Index of the last applied entry.
+    pub(crate) fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Replaces the state by a snapshot.
+    pub(crate) fn install(&mut self, index: u64, state: FleetState) {
+        self.state = state;
+        self.applied = index;
+        self.base = index;
+        self.recent.clear();
+    }
+
+    /// Applies the entry `index`, which may be without a command.
+    pub(crate) fn apply(
+        &mut self,
+        index: u64,
+        command: Option<&FleetCommand>,
+    ) -> Option<FleetOutcome> {
+        self.applied = index;
+        let command = command?;
+        let outcome = self.state.apply(command);
+        self.recent.push_back((index, command.for_entry_hosts()));
+        if self.recent.len() > KEPT_COMMANDS
+            && let Some((dropped, _)) = self.recent.pop_front()
+        {
+            self.base = dropped;
+        }
+        Some(outcome)
+    }
+
+    /// What brings an entry host that has applied `after` up to date.
+    pub(crate) fn since(&self, after: u64) -> LinkMessage {
+        if after < self.base || after > self.applied || after == 0 {
+            let state = Box::new(self.state.for_entry_hosts());
+            return LinkMessage::Snapshot { index: self.applied, state };
+        }
+        let first = self.recent.partition_point(|(index, _)| *index <= after);
+        let commands = self.recent.range(first..).cloned().collect();
+        LinkMessage::Updates { after, through: self.applied, commands }
+    }
+}
--- /dev/null
+++ b/crates/gw-gateway/src/control/group_keeper.rs
@@ -0,0 +1,196 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gw_agreement::MembershipChange;
+use gw_fleet::FleetCommand;
+use gw_fleet::ReplicaRecord;
+use gw_types::HostId;
+
+use crate::control::control_host::Asker;
+use crate::control::control_host::ControlHost;
+use crate::control::replica_identity::ReplicaIdentity;
+use crate::link::CallResult;
+use crate::link::LinkHandle;
+use crate::link::LinkMessage;
+
+/// Silence after which a replica is removed, if enough others remain.
+const LOST_TIME: Duration = Duration::from_secs(12);
+/// Replicas that remain at least when a silent one is removed.
+const LEAST_REPLICAS: usize = 3;
+
+impl ControlHost {
+    /// Finds out who this replica is: a first member, a member that restarts, or a new one.
+    pub(crate) fn identify(&self) -> std::io::Result<()> {
+        let settings = self.settings.borrow().clone();
+        let Some(data) = &settings.data else { return Ok(()) };
+        if let Some(identity) = ReplicaIdentity::load(data)? {
+            self.note_first_peers(&identity);
+            *self.identity.borrow_mut() = Some(identity);
+            return Ok(());
+        }
+        let mut seeds = settings.seeds.clone();
+        seeds.sort();
+        let position = seeds.iter().position(|seed| *seed == self.calls_address);
+        let identity = match position.filter(|_| settings.is_first_start) {
+            Some(position) => {
+                let id = HostId(position as u16 + 1);
+                let first_members = (1..=seeds.len() as u16).map(HostId).collect();
+                ReplicaIdentity { folder: u64::from(id.0), id: Some(id), first_members }
+            }
+            None => ReplicaIdentity { folder: rand::random(), id: None, first_members: Vec::new() },
+        };
+        identity.save(data)?;
+        log::info!("event=identity_created id={:?} folder={:x}", identity.id, identity.folder);
+        self.note_first_peers(&identity);
+        *self.identity.borrow_mut() = Some(identity);
+        Ok(())
+    }
+
+    /// First members know each other from the settings until the log says it.
+    fn note_first_peers(&self, identity: &ReplicaIdentity) {
+        let settings = self.settings.borrow();
+        if identity.first_members.len() != settings.seeds.len() || !settings.is_first_start {
+            return;
+        }
+        let mut seeds = settings.seeds.clone();
+        seeds.sort();
+        let peers = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), settings.peer_port));
+        let ids = identity.first_members.iter().copied();
+        *self.first_peers.borrow_mut() = ids.zip(peers).collect();
+    }
+
+    /// Asks all connected control hosts for an id.
+    pub(crate) fn ask_to_join(&self) {
+        let Some(identity) = self.identity.borrow().clone() else { return };
+        let settings = self.settings.borrow();
+        let peers = SocketAddr::new(settings.address, settings.peer_port);
+        let join = LinkMessage::Join { folder: identity.folder, peers, calls: self.calls_address };
+        for link in self.links.borrow().iter().filter(|link| link.is_own) {
+            link.link.send(&join);
+        }
+    }
+
+    /// Lets a new replica join. Only the leader answers.
+    pub(crate) fn take_join(
+        &self,
+        link: LinkHandle,
+        folder: u64,
+        peers: SocketAddr,
+        calls: SocketAddr,
+    ) {
+        if !self.leads() {
+            return;
+        }
+        let replicas = self.log.borrow().state().replicas().to_vec();
+        if replicas.is_empty() {
+            return;
+        }
+        if let Some(known) = replicas.iter().find(|replica| replica.folder == folder) {
+            link.send(&LinkMessage::Welcome { id: known.id, replicas });
+            return;
+        }
+        // The replica that had this address has lost its disk, and with it all that it promised.
+        if let Some(old) = replicas.iter().find(|replica| replica.peers == peers) {
+            log::warn!("event=replica_lost_disk id={} peers={peers}", old.id.0);
+            self.command(FleetCommand::RemoveReplica { id: old.id });
+            return;
+        }
+        log::info!("event=replica_joins folder={folder:x} peers={peers}");
+        self.command(FleetCommand::AddReplica { id: None, folder, peers, calls });
+    }
+
+    /// Takes the id that the group has given.
+    pub(crate) fn take_welcome(&self, id: HostId, replicas: Vec<ReplicaRecord>) {
+        let Some(mut identity) = self.identity.borrow().clone() else { return };
+        if identity.id.is_some() {
+            return;
+        }
+        identity.id = Some(id);
+        let data = self.settings.borrow().data.clone();
+        let saved = data.map(|data| identity.save(&data));
+        if let Some(Err(error)) = saved {
+            log::error!("event=identity_not_saved cause=\"{error}\"");
+            return;
+        }
+        let peers = replicas.iter().map(|replica| (replica.id, replica.peers));
+        *self.first_peers.borrow_mut() = peers.collect();
+        *self.identity.borrow_mut() = Some(identity);
+    }
+
+    /// The group no longer counts this replica: it becomes a new one.
+    pub(crate) fn take_removal(&self, id: HostId) {
+        let own = self.identity.borrow().as_ref().and_then(|identity| identity.id);
+        if own != Some(id) {
+            return;
+        }
+        log::warn!("event=replica_was_removed id={}", id.0);
+        *self.replica.borrow_mut() = None;
+        let data = self.settings.borrow().data.clone();
+        if let Some(Err(error)) = data.map(|data| ReplicaIdentity::wipe(&data)) {
+            log::error!("event=data_not_removed cause=\"{error}\"");
+            return;
+        }
+        *self.identity.borrow_mut() = None;
+    }
+
+    /// Puts a command into the log without waiting for it.
+    pub(crate) fn command(&self, command: FleetCommand) {
+        let (sender, _) = tokio::sync::oneshot::channel::<CallResult>();
+        self.propose_as_leader(&command, Asker::Own(sender));
+    }
+
+    /// Lets the group's members follow the list of replicas, as leader.
+    pub(crate) fn keep_group(&self) {
+        let state_replicas = self.log.borrow().state().replicas().to_vec();
+        if state_replicas.is_empty() {
+            self.record_first_members();
+            return;
+        }
+        let now = self.now();
+        let mut lost = None;
+        if let Some(replica) = self.replica.borrow_mut().as_mut() {
+            let members = replica.node.membership().clone();
+            let is_known = |id: HostId| state_replicas.iter().any(|known| known.id == id);
+            let gone = members.members().find(|id| !is_known(*id));
+            let new = state_replicas.iter().find(|known| !members.contains(known.id));
+            let change = gone
+                .map(MembershipChange::Remove)
+                .or_else(|| new.map(|known| MembershipChange::Add(known.id)));
+            if let Some(change) = change {
+                match replica.node.change_membership(now, change) {
+                    Ok(index) => log::info!("event=members_change index={} {change:?}", index.0),
+                    Err(error) => log::debug!("event=members_wait cause=\"{error}\""),
+                }
+            }
+            let leads_for =
+                replica.node.leader_since().map_or(Duration::ZERO, |since| now.since(since));
+            if change.is_none() && leads_for > LOST_TIME && state_replicas.len() > LEAST_REPLICAS {
+                let status = replica.node.member_status();
+                let silent = status.iter().find(|member| {
+                    member.host != replica.node.id()
+                        && member.last_contact.is_none_or(|at| now.since(at) > LOST_TIME)
+                });
+                lost = silent.map(|member| member.host);
+            }
+        }
+        if let Some(id) = lost {
+            log::warn!("event=replica_lost id={}", id.0);
+            self.command(FleetCommand::RemoveReplica { id });
+        }
+        self.drive();
+    }
+
+    fn record_first_members(&self) {
+        let settings = self.settings.borrow();
+        let first = self.first_peers.borrow().clone();
+        let calls_port = self.calls_address.port();
+        let own = SocketAddr::new(settings.address, settings.peer_port);
+        log::info!("event=first_members own={own} members={first:?}");
+        drop(settings);
+        for (id, peers) in first {
+            let calls = SocketAddr::new(peers.ip(), calls_port);
+            let folder = u64::from(id.0);
+            self.command(FleetCommand::AddReplica { id: Some(id), folder, peers, calls });
+        }
+    }
+}
--- /dev/null
+++ b/crates/gw-gateway/src/control/link_keeper.rs
@@ -0,0 +1,214 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use gw_types::HostName;
+use gw_types::Timestamp;
+use gw_types::ZoneName;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::task::spawn_local;
+
+use crate::control::control_host::Asker;
+use crate::control::control_host::ControlHost;
+use crate::link::EntryReport;
+use crate::link::HeadMessage;
+use crate::link::HostKind;
+use crate::link::LinkEvent;
+use crate::link::LinkHandle;
+use crate::link::LinkMessage;
+use crate::link::keep_link;
+
+/// A connection to another host.
+pub(crate) struct PeerLink {
+    pub(crate) link: LinkHandle,
+    pub(crate) peer: SocketAddr,
+    /// Whether this host made it.
+    pub(crate) is_own: bool,
+    /// Who the other side is, once it has said so.
+    pub(crate) hello: Option<(HostName, ZoneName, HostKind)>,
+    /// Whether the other side gets every change at once.
+    pub(crate) is_streaming: bool,
+    /// Index up to which it was sent changes.
+    pub(crate) sent_through: u64,
+    /// The other side's clock, and when it was told.
+    pub(crate) clock: Option<(u64, Timestamp)>,
+}
+
+impl PeerLink {
+    pub(crate) fn is_entry(&self) -> bool {
+        matches!(self.hello, Some((_, _, HostKind::Entry)))
+    }
+}
+
+/// Connections to other control hosts, made for as long as they are known.
+pub(crate) struct LinkKeeper {
+    host: Rc<ControlHost>,
+    events: mpsc::Sender<LinkEvent>,
+    dialed: BTreeMap<SocketAddr, JoinHandle<()>>,
+}
+
+impl LinkKeeper {
+    pub(crate) fn new(host: Rc<ControlHost>, events: mpsc::Sender<LinkEvent>) -> Self {
+        Self { host, events, dialed: BTreeMap::new() }
+    }
+
+    /// Connects to all known control hosts and to no others.
+    pub(crate) fn dial(&mut self) {
+        let (seeds, port, own) = {
+            let settings = self.host.settings.borrow();
+            let own = SocketAddr::new(settings.address, settings.peer_port);
+            (settings.seeds.clone(), settings.peer_port, own)
+        };
+        let log = self.host.log.borrow();
+        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
+        let known = log.state().replicas().iter().map(|replica| replica.peers);
+        let first = self.host.first_peers.borrow();
+        let first = first.iter().map(|(_, peers)| *peers);
+        let mut wanted: Vec<SocketAddr> =
+            seeds.chain(known).chain(first).filter(|peer| *peer != own).collect();
+        wanted.sort();
+        wanted.dedup();
+        self.dialed.retain(|peer, task| {
+            let is_wanted = wanted.binary_search(peer).is_ok();
+            if !is_wanted {
+                task.abort();
+            }
+            is_wanted
+        });
+        for peer in wanted {
+            let events = &self.events;
+            self.dialed.entry(peer).or_insert_with(|| spawn_local(keep_link(peer, events.clone())));
+        }
+        let dialed = &self.dialed;
+        let mut links = self.host.links.borrow_mut();
+        links.retain(|link| !link.is_own || dialed.contains_key(&link.peer));
+    }
+
+    /// Handles what happened on a connection.
+    pub(crate) fn take_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Opened { link, peer, is_own } => {
+                let settings = self.host.settings.borrow();
+                let (host, zone) = (settings.host.clone(), settings.zone.clone());
+                link.send(&LinkMessage::Hello { host, zone, kind: HostKind::Control });
+                self.host.links.borrow_mut().push(PeerLink {
+                    link,
+                    peer,
+                    is_own,
+                    hello: None,
+                    is_streaming: false,
+                    sent_through: 0,
+                    clock: None,
+                });
+            }
+            LinkEvent::Closed { id } => {
+                self.host.links.borrow_mut().retain(|link| link.link.id != id);
+            }
+            LinkEvent::Message { link, message } => self.take_message(link, message),
+        }
+    }
+
+    fn take_message(&mut self, link: LinkHandle, message: LinkMessage) {
+        let host = &self.host;
+        match message {
+            LinkMessage::Hello { host: name, zone, kind } => {
+                log::info!("event=host_connected host={name} zone={zone} kind={kind:?}");
+                with_link(host, &link, |known| known.hello = Some((name, zone, kind)));
+                if kind == HostKind::Entry {
+                    link.send(&LinkMessage::Head(head_message(host)));
+                }
+            }
+            LinkMessage::Agreement { from, to, message } => {
+                let own = host.identity.borrow().as_ref().and_then(|identity| identity.id);
+                if own != Some(to) {
+                    return;
+                }
+                let is_removed = {
+                    let log = host.log.borrow();
+                    let replicas = log.state().replicas();
+                    !replicas.is_empty() && !replicas.iter().any(|replica| replica.id == from)
+                };
+                if is_removed && host.is_current() {
+                    link.send(&LinkMessage::Removed { id: from });
+                    return;
+                }
+                host.take_agreement(from, message);
+            }
+            LinkMessage::Join { folder, peers, calls } => {
+                host.take_join(link, folder, peers, calls);
+            }
+            LinkMessage::Welcome { id, replicas } => host.take_welcome(id, replicas),
+            LinkMessage::Removed { id } => host.take_removal(id),
+            LinkMessage::Propose { call, command } => {
+                host.propose_as_leader(&command, Asker::Remote { link, call });
+            }
+            LinkMessage::ReadFence { call } => host.read_as_leader(Asker::Remote { link, call }),
+            LinkMessage::Answer { call, result } => {
+                let waiting = host.calls.borrow_mut().remove(&call);
+                if let Some(waiting) = waiting {
+                    // The caller may have gone.
+                    waiting.send(result).ok();
+                }
+            }
+            LinkMessage::Heard { targets } => {
+                let now = host.now();
+                let mut watch = host.watch.borrow_mut();
+                targets.iter().for_each(|target| watch.note_heard(now, target));
+            }
+            LinkMessage::Fetch { after, stream } => {
+                let log = host.log.borrow();
+                if log.applied() > 0 {
+                    link.send(&log.since(after));
+                }
+                let sent_through = log.applied();
+                with_link(host, &link, |known| {
+                    known.is_streaming = stream;
+                    known.sent_through = sent_through;
+                });
+            }
+            LinkMessage::Report(report) => take_report(host, &link, &report),
+            other => log::warn!("event=unexpected_message message={other:?}"),
+        }
+    }
+}
+
+fn with_link(host: &ControlHost, link: &LinkHandle, change: impl FnOnce(&mut PeerLink)) {
+    let mut links = host.links.borrow_mut();
+    if let Some(known) = links.iter_mut().find(|known| known.link.id == link.id) {
+        change(known);
+    }
+}
+
+fn take_report(host: &ControlHost, link: &LinkHandle, report: &EntryReport) {
+    let now = host.now();
+    with_link(host, link, |known| known.clock = Some((report.clock, now)));
+    let mut watch = host.watch.borrow_mut();
+    report.run_times.iter().for_each(|time| watch.note_run_time(now, time));
+    let mut ranges = host.ranges.borrow_mut();
+    report.heat.iter().for_each(|heat| ranges.note_heat(now, heat));
+    let mut quarantine = host.quarantine.borrow_mut();
+    report.crashes.iter().for_each(|entry| quarantine.merge(now, entry));
+}
+
+/// What entry hosts are told regularly.
+pub(crate) fn head_message(host: &ControlHost) -> HeadMessage {
+    let now = host.now();
+    let links = host.links.borrow();
+    let mut entry_hosts: Vec<(HostName, ZoneName)> = links
+        .iter()
+        .filter(|link| link.is_entry())
+        .filter_map(|link| link.hello.as_ref().map(|(name, zone, _)| (name.clone(), zone.clone())))
+        .collect();
+    entry_hosts.sort();
+    entry_hosts.dedup();
+    let log = host.log.borrow();
+    HeadMessage {
+        index: log.applied(),
+        is_current: host.is_current(),
+        is_leader: host.leads(),
+        replicas: log.state().replicas().to_vec(),
+        entry_hosts,
+        crashes: host.quarantine.borrow().entries(now),
+    }
+}
--- /dev/null
+++ b/crates/gw-gateway/src/control/order_flow.rs
@@ -0,0 +1,184 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use gw_ranges::OrderKind;
+use gw_ranges::OrderOutcome;
+use gw_ranges::RangeHolder;
+use gw_ranges::TargetOrder;
+use gw_types::TargetName;
+use gw_types::Timestamp;
+use gw_types::ZoneName;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+
+use crate::control::control_host::ControlHost;
+use crate::link::CallResult;
+use crate::link::LinkHandle;
+use crate::link::LinkMessage;
+use crate::targets::send_order;
+
+/// Time within which an entry host may start to send an order of the leader.
+const RELAY_WINDOW: Duration = Duration::from_millis(700);
+/// Longest wait for the outcome of a relayed grant: the window, and the wait for the target.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Longest wait for the outcome of a relayed release, which waits for running work.
+const RELAY_RELEASE_TIMEOUT: Duration = Duration::from_millis(3_400);
+/// How long a target that could not be reached directly is reached through entry hosts.
+const DETOUR_TIME: Duration = Duration::from_secs(3);
+/// Age of its clock at which an entry host is not used for orders.
+const CLOCK_AGE: Duration = Duration::from_millis(600);
+
+/// Targets that could not be reached directly, with the time of the failure.
+#[derive(Default)]
+pub(crate) struct DetourTable(RefCell<BTreeMap<TargetName, Timestamp>>);
+
+impl DetourTable {
+    fn is_blocked(&self, now: Timestamp, target: &TargetName) -> bool {
+        self.0.borrow().get(target).is_some_and(|at| now.since(*at) < DETOUR_TIME)
+    }
+
+    fn note(&self, now: Timestamp, target: &TargetName, is_reached: bool) {
+        if is_reached {
+            self.0.borrow_mut().remove(target);
+        } else {
+            self.0.borrow_mut().insert(target.clone(), now);
+        }
+    }
+}
+
+/// Does what the granters ask for, as leader.
+pub(crate) fn keep_ranges(host: &Rc<ControlHost>, detours: &Rc<DetourTable>) {
+    if !host.leads() {
+        return;
+    }
+    let now = host.now();
+    let (orders, commands) = {
+        let log = host.log.borrow();
+        host.watch.borrow_mut().forget(log.state());
+        host.ranges.borrow_mut().step(now, log.state(), &host.watch.borrow())
+    };
+    for order in orders {
+        spawn_local(run_order(host.clone(), detours.clone(), order));
+    }
+    commands.into_iter().for_each(|command| host.command(command));
+}
+
+async fn run_order(host: Rc<ControlHost>, detours: Rc<DetourTable>, order: TargetOrder) {
+    let outcome = match locate(&host, &order.holder) {
+        Some((address, zone)) => deliver(&host, &detours, &order, address, &zone).await,
+        None => OrderOutcome::NotSent,
+    };
+    let end = match &outcome {
+        OrderOutcome::Done { .. } => "done",
+        OrderOutcome::Refused => "refused",
+        OrderOutcome::Unanswered => "unanswered",
+        OrderOutcome::NotSent => "not_sent",
+    };
+    host.metrics.count_order(order.service.as_str(), end);
+    host.metrics.connections_opened.set(host.connections.opened() as i64);
+    let is_routine = matches!(order.kind, OrderKind::Grant { .. }) && end == "done";
+    let level = if is_routine { log::Level::Debug } else { log::Level::Info };
+    log::log!(
+        level,
+        "event=order service={} target={} range={} fence={} kind={:?} outcome={end}",
+        order.service,
+        order.holder,
+        order.range,
+        order.fence,
+        order.kind,
+    );
+    host.ranges.borrow_mut().order_done(host.now(), &order, &outcome);
+    keep_ranges(&host, &detours);
+}
+
+/// Where a run of a target takes orders. A later run at the same place may have taken a grant that
+/// was meant for an earlier one, so a release goes there.
+fn locate(host: &ControlHost, holder: &RangeHolder) -> Option<(SocketAddr, ZoneName)> {
+    let log = host.log.borrow();
+    let state = log.state();
+    let live = state.target(&holder.target);
+    let departed = state.departed().iter().map(|departed| &departed.record);
+    let mut records = live.into_iter().chain(departed);
+    let record = records.find(|record| record.holder() == *holder).or(live)?;
+    Some((record.address, record.zone.clone()))
+}
+
+async fn deliver(
+    host: &Rc<ControlHost>,
+    detours: &DetourTable,
+    order: &TargetOrder,
+    address: SocketAddr,
+    zone: &ZoneName,
+) -> OrderOutcome {
+    let target = &order.holder.target;
+    let mut relays = relays(host, zone).into_iter();
+    if detours.is_blocked(host.now(), target)
+        && let Some(relay) = relays.next()
+    {
+        let outcome = relay_order(host, relay, order, address).await;
+        if outcome != OrderOutcome::NotSent {
+            return outcome;
+        }
+    }
+    // A host that froze or lost its majority must not grant anything.
+    let may_send = || host.leads();
+    let outcome = send_order(&*host.dialect, &host.connections, address, order, may_send).await;
+    let is_reached = matches!(outcome, OrderOutcome::Done { .. } | OrderOutcome::Refused);
+    detours.note(host.now(), target, is_reached);
+    if outcome == OrderOutcome::NotSent
+        && host.leads()
+        && let Some(relay) = relays.next()
+    {
+        return relay_order(host, relay, order, address).await;
+    }
+    outcome
+}
+
+/// Entry hosts that may carry an order, those of the target's zone first, with the time on their
+/// clocks up to which they may send it.
+fn relays(host: &ControlHost, zone: &ZoneName) -> Vec<(LinkHandle, u64)> {
+    let now = host.now();
+    let links = host.links.borrow();
+    let mut found: Vec<(bool, LinkHandle, u64)> = links
+        .iter()
+        .filter(|link| link.is_entry())
+        .filter_map(|link| {
+            let (clock, told) = link.clock.filter(|(_, told)| now.since(*told) < CLOCK_AGE)?;
+            let is_far = link.hello.as_ref().is_none_or(|(_, other, _)| other != zone);
+            // Counted from when the clock was read, so that the window ends early, not late.
+            debug_assert!(told <= now);
+            Some((is_far, link.link.clone(), clock + RELAY_WINDOW.as_nanos() as u64))
+        })
+        .collect();
+    found.sort_by_key(|(is_far, _, send_before)| (*is_far, std::cmp::Reverse(*send_before)));
+    found.into_iter().map(|(_, link, send_before)| (link, send_before)).collect()
+}
+
+async fn relay_order(
+    host: &ControlHost,
+    (link, send_before): (LinkHandle, u64),
+    order: &TargetOrder,
+    address: SocketAddr,
+) -> OrderOutcome {
+    let call = host.next_call();
+    let (sender, receiver) = oneshot::channel();
+    host.calls.borrow_mut().insert(call, sender);
+    let message = LinkMessage::RunOrder { call, order: order.clone(), address, send_before };
+    if !link.send(&message) {
+        host.calls.borrow_mut().remove(&call);
+        return OrderOutcome::NotSent;
+    }
+    let limit = match order.kind {
+        OrderKind::Grant { .. } => RELAY_TIMEOUT,
+        OrderKind::Release => RELAY_RELEASE_TIMEOUT,
+    };
+    let answer = tokio::time::timeout(limit, receiver).await;
+    host.calls.borrow_mut().remove(&call);
+    match answer {
+        Ok(Ok(CallResult::Order(outcome))) => outcome,
+        _ => OrderOutcome::Unanswered,
+    }
+}
--- /dev/null
+++ b/crates/gw-gateway/src/control/range_keeper.rs
@@ -0,0 +1,101 @@
+use std::time::Duration;
+
+use gw_fleet::FleetCommand;
+use gw_fleet::FleetState;
+use gw_ranges::GranterAction;
+use gw_ranges::GranterOptions;
+use gw_ranges::HeatMap;
+use gw_ranges::OrderOutcome;
+use gw_ranges::RangeGranter;
+use gw_ranges::RangeTable;
+use gw_ranges::TargetOrder;
+use gw_types::ServiceName;
+use gw_types::Timestamp;
+
+use crate::control::target_watch::TargetWatch;
+use crate::link::ServiceHeat;
+
+struct KeptService {
+    granter: RangeGranter,
+    heat: HeatMap,
+}
+
+/// The granters of all services that are divided by key, on the leader.
+pub(crate) struct RangeKeeper {
+    options: GranterOptions,
+    /// Sorted by service.
+    services: Vec<KeptService>,
+}
+
+impl RangeKeeper {
+    /// A keeper without services. Targets are granted keys for at most `longest_hold`.
+    pub(crate) fn new(longest_hold: Duration) -> Self {
+        let options = GranterOptions::default();
+        let hold = options.hold.min(longest_hold);
+        Self { options: GranterOptions { hold, ..options }, services: Vec::new() }
+    }
+
+    /// Forgets all granters, when the host gains or loses the lead.
+    pub(crate) fn restart(&mut self) {
+        self.services.clear();
+    }
+
+    /// Adds requests that an entry host has counted.
+    pub(crate) fn note_heat(&mut self, now: Timestamp, heat: &ServiceHeat) {
+        let found = self.services.iter_mut().find(|kept| *kept.granter.service() == heat.service);
+        let Some(kept) = found else { return };
+        kept.heat.decay(now);
+        heat.counts.iter().for_each(|&(bucket, count)| kept.heat.add(bucket, count));
+    }
+
+    /// What is due for all services.
+    pub(crate) fn step(
+        &mut self,
+        now: Timestamp,
+        state: &FleetState,
+        watch: &TargetWatch,
+    ) -> (Vec<TargetOrder>, Vec<FleetCommand>) {
+        let Some(config) = state.config() else { return (Vec::new(), Vec::new()) };
+        for spec in config.services.iter().filter(|spec| spec.is_keyed) {
+            self.add_service(now, &spec.name);
+        }
+        let (mut orders, mut commands) = (Vec::new(), Vec::new());
+        let unassigned = RangeTable::default();
+        for kept in &mut self.services {
+            let service = kept.granter.service().clone();
+            let table = state.table(&service).unwrap_or(&unassigned);
+            let candidates = watch.candidates(now, state, &service);
+            kept.heat.decay(now);
+            for action in kept.granter.step(now, table, &candidates, &kept.heat) {
+                match action {
+                    GranterAction::Order(order) => orders.push(order),
+                    GranterAction::Propose(change) => {
+                        commands.push(FleetCommand::ChangeRanges(change));
+                    }
+                }
+            }
+        }
+        (orders, commands)
+    }
+
+    fn add_service(&mut self, now: Timestamp, service: &ServiceName) {
+        let found = self.services.binary_search_by(|kept| kept.granter.service().cmp(service));
+        if let Err(position) = found {
+            let granter = RangeGranter::new(service.clone(), self.options, now);
+            self.services.insert(position, KeptService { granter, heat: HeatMap::new(now) });
+        }
+    }
+
+    /// Notes how an order ended.
+    pub(crate) fn order_done(
+        &mut self,
+        now: Timestamp,
+        order: &TargetOrder,
+        outcome: &OrderOutcome,
+    ) {
+        let found = self.services.iter_mut().find(|kept| *kept.granter.service() == order.service);
+        if let Some(kept) = found {
+            kept.granter.order_done(now, order, outcome);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -0,0 +1,336 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use gw_balance::HomeHosts;
+use gw_fleet::ReplicaRecord;
+use gw_ranges::TargetOrder;
+use gw_types::Timestamp;
+use gw_types::ZoneName;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::task::spawn_local;
+
+use crate::entry::entry_host::EntryHost;
+use crate::link::CallResult;
+use crate::link::EntryReport;
+use crate::link::HeadMessage;
+use crate::link::HostKind;
+use crate::link::LinkEvent;
+use crate::link::LinkHandle;
+use crate::link::LinkId;
+use crate::link::LinkMessage;
+use crate::link::RunTime;
+use crate::link::ServiceHeat;
+use crate::link::keep_link;
+use crate::targets::send_order;
+
+/// Time between two reports to control hosts.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Age of its last message at which a control host is not counted on.
+const HEAD_AGE: Duration = Duration::from_millis(1_000);
+/// How far the own state may lag behind what another control host has before it is asked.
+const LAG_LIMIT: Duration = Duration::from_millis(120);
+/// Events of connections that wait to be handled.
+const EVENT_QUEUE: usize = 1024;
+
+struct ControlLink {
+    link: LinkHandle,
+    peer: SocketAddr,
+    zone: Option<ZoneName>,
+    head: Option<HeadMessage>,
+    heard: Timestamp,
+}
+
+/// Follows the control log over connections to all known control hosts, and reports to them.
+///
+/// One control host, of the own zone if possible, sends every change at once; the others only say
+/// how far they are, and are asked when the first one falls behind.
+pub(crate) struct ControlLinks {
+    host: Rc<EntryHost>,
+    events: mpsc::Sender<LinkEvent>,
+    /// Control hosts that are connected to, by address.
+    dialed: BTreeMap<SocketAddr, JoinHandle<()>>,
+    links: Vec<ControlLink>,
+    /// Where changes are streamed from.
+    stream: Option<LinkId>,
+    /// Since when another control host is known to be ahead.
+    behind_since: Option<Timestamp>,
+    quarantine_digest: u64,
+}
+
+impl ControlLinks {
+    /// Runs until the process ends.
+    pub(crate) async fn run(host: Rc<EntryHost>) {
+        let (events, mut queue) = mpsc::channel(EVENT_QUEUE);
+        let mut links = Self {
+            host,
+            events,
+            dialed: BTreeMap::new(),
+            links: Vec::new(),
+            stream: None,
+            behind_since: None,
+            quarantine_digest: 0,
+        };
+        links.dial(&[]);
+        let mut reports = tokio::time::interval(REPORT_INTERVAL);
+        reports.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = queue.recv() => match event {
+                    Some(event) => links.take_event(event),
+                    None => return,
+                },
+                _ = reports.tick() => links.tick(),
+            }
+        }
+    }
+
+    /// Connects to the control hosts of the settings and to `replicas`, and to no others.
+    fn dial(&mut self, replicas: &[ReplicaRecord]) {
+        let (seeds, port) = {
+            let settings = self.host.settings.borrow();
+            (settings.seeds.clone(), settings.peer_port)
+        };
+        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
+        let known = replicas.iter().map(|replica| replica.peers);
+        let mut wanted: Vec<SocketAddr> = seeds.chain(known).collect();
+        wanted.sort();
+        wanted.dedup();
+        self.dialed.retain(|peer, task| {
+            let is_wanted = wanted.binary_search(peer).is_ok();
+            if !is_wanted {
+                task.abort();
+            }
+            is_wanted
+        });
+        for peer in wanted {
+            let events = &self.events;
+            self.dialed.entry(peer).or_insert_with(|| spawn_local(keep_link(peer, events.clone())));
+        }
+        let dialed = &self.dialed;
+        self.links.retain(|link| dialed.contains_key(&link.peer));
+    }
+
+    fn take_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Opened { link, peer, .. } => {
+                log::info!("event=control_connected peer={peer}");
+                let settings = self.host.settings.borrow();
+                let (host, zone) = (settings.host.clone(), settings.zone.clone());
+                link.send(&LinkMessage::Hello { host, zone, kind: HostKind::Entry });
+                let heard = self.host.now();
+                self.links.push(ControlLink { link, peer, zone: None, head: None, heard });
+            }
+            LinkEvent::Closed { id } => {
+                self.links.retain(|link| link.link.id != id);
+                if self.stream == Some(id) {
+                    self.stream = None;
+                    self.choose_stream();
+                }
+            }
+            LinkEvent::Message { link, message } => self.take_message(&link, message),
+        }
+    }
+
+    fn take_message(&mut self, link: &LinkHandle, message: LinkMessage) {
+        let now = self.host.now();
+        let Some(known) = self.links.iter_mut().find(|known| known.link.id == link.id) else {
+            return;
+        };
+        known.heard = now;
+        match message {
+            LinkMessage::Hello { zone, .. } => known.zone = Some(zone),
+            LinkMessage::Head(head) => {
+                known.head = Some(head);
+                self.take_head(link.id);
+            }
+            LinkMessage::Updates { after, through, commands } => {
+                if !self.host.update(after, through, &commands) {
+                    self.fetch(link, self.stream == Some(link.id));
+                }
+                self.note_progress();
+            }
+            LinkMessage::Snapshot { index, state } => {
+                self.host.install(index, *state);
+                self.note_progress();
+            }
+            LinkMessage::RunOrder { call, order, address, send_before } => {
+                let send_before = Timestamp::from_nanos(send_before);
+                let host = self.host.clone();
+                spawn_local(relay_order(host, link.clone(), call, order, address, send_before));
+            }
+            other => log::warn!("event=unexpected_message message={other:?}"),
+        }
+    }
+
+    fn take_head(&mut self, id: LinkId) {
+        let Some(link) = self.links.iter().find(|link| link.link.id == id) else { return };
+        let Some(head) = link.head.clone() else { return };
+        if head.is_current {
+            self.host.current_at.set(self.host.now());
+            let zone = self.host.settings.borrow().zone.clone();
+            let near = head.entry_hosts.iter().filter(|(_, other)| *other == zone);
+            let homes = HomeHosts::new(near.map(|(host, _)| host.clone()).collect());
+            let is_new = *self.host.homes.borrow() != homes;
+            if is_new {
+                *self.host.homes.borrow_mut() = homes;
+                self.host.follow_state();
+            }
+            self.host.host_count.set(head.entry_hosts.len());
+            if !head.replicas.is_empty() {
+                self.dial(&head.replicas);
+            }
+        }
+        let now = self.host.now();
+        for entry in &head.crashes {
+            self.host.quarantine.borrow_mut().merge(now, entry);
+        }
+        self.choose_stream();
+        self.note_progress();
+    }
+
+    /// Whether a control host can be relied on for changes.
+    fn is_good(link: &ControlLink, now: Timestamp) -> bool {
+        let is_current = link.head.as_ref().is_some_and(|head| head.is_current);
+        is_current && now.since(link.heard) < HEAD_AGE
+    }
+
+    /// Streams from a control host that is in contact with a majority, of the own zone if possible.
+    fn choose_stream(&mut self) {
+        let now = self.host.now();
+        let own_zone = self.host.settings.borrow().zone.clone();
+        let good = self.links.iter().filter(|link| Self::is_good(link, now));
+        let best = good.max_by_key(|link| {
+            (link.zone.as_ref() == Some(&own_zone), self.stream == Some(link.link.id))
+        });
+        let Some(best) = best.map(|link| link.link.clone()) else { return };
+        if self.stream == Some(best.id) {
+            return;
+        }
+        let old = self.links.iter().find(|link| self.stream == Some(link.link.id));
+        if let Some(old) = old {
+            self.fetch(&old.link, false);
+        }
+        self.stream = Some(best.id);
+        self.fetch(&best, true);
+    }
+
+    fn fetch(&self, link: &LinkHandle, stream: bool) {
+        link.send(&LinkMessage::Fetch { after: self.host.applied.get(), stream });
+    }
+
+    /// Compares the own state with what control hosts have.
+    fn note_progress(&mut self) {
+        let now = self.host.now();
+        let applied = self.host.applied.get();
+        let heads = self.links.iter().filter_map(|link| Some((link, link.head.as_ref()?)));
+        let newest = heads.clone().max_by_key(|(_, head)| head.index);
+        let is_level = |(link, head): (&ControlLink, &HeadMessage)| {
+            Self::is_good(link, now) && applied >= head.index && applied > 0
+        };
+        if !self.host.was_current.get() && heads.clone().any(is_level) {
+            log::info!("event=state_current index={applied}");
+            self.host.was_current.set(true);
+        }
+        let Some((link, head)) = newest else { return };
+        if head.index <= applied {
+            self.behind_since = None;
+            return;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        if now.since(since) > LAG_LIMIT {
+            log::info!("event=state_behind applied={applied} known={}", head.index);
+            self.behind_since = Some(now);
+            self.fetch(&link.link, self.stream == Some(link.link.id));
+        }
+    }
+
+    fn tick(&mut self) {
+        if self.dialed.is_empty() {
+            self.dial(&[]);
+        }
+        self.choose_stream();
+        self.note_progress();
+        self.report();
+    }
+
+    fn report(&mut self) {
+        let now = self.host.now();
+        let is_leader = |link: &&ControlLink| link.head.as_ref().is_some_and(|head| head.is_leader);
+        let leader = self.links.iter().filter(is_leader).max_by_key(|link| link.heard);
+        let leader = leader.map(|link| link.link.id);
+        self.host.quarantine.borrow_mut().expire(now);
+        let digest = self.host.quarantine.borrow().digest(now);
+        let crashes = if digest == self.quarantine_digest {
+            Vec::new()
+        } else {
+            self.host.quarantine.borrow().entries(now)
+        };
+        if leader.is_some() {
+            self.quarantine_digest = digest;
+        }
+        let plain = EntryReport {
+            clock: now.as_nanos(),
+            applied: self.host.applied.get(),
+            heat: Vec::new(),
+            run_times: Vec::new(),
+            crashes: Vec::new(),
+        };
+        for link in &self.links {
+            let report = if Some(link.link.id) == leader {
+                let heat = self.take_heat();
+                let run_times = self.run_times(now);
+                EntryReport { heat, run_times, crashes: crashes.clone(), ..plain.clone() }
+            } else {
+                plain.clone()
+            };
+            link.link.send(&LinkMessage::Report(report));
+        }
+    }
+
+    fn take_heat(&self) -> Vec<ServiceHeat> {
+        let mut reports: Vec<ServiceHeat> = Vec::new();
+        for ((service, bucket), count) in std::mem::take(&mut *self.host.heat.borrow_mut()) {
+            match reports.last_mut().filter(|report| report.service == service) {
+                Some(report) => report.counts.push((bucket, count)),
+                None => reports.push(ServiceHeat { service, counts: vec![(bucket, count)] }),
+            }
+        }
+        reports
+    }
+
+    fn run_times(&self, now: Timestamp) -> Vec<RunTime> {
+        let pool = self.host.pool.borrow();
+        let lines = pool.lines().iter().filter(|line| line.failures() == 0);
+        let timed = lines.filter_map(|line| Some((line, line.run_time(now)?)));
+        timed
+            .map(|(line, seconds)| RunTime {
+                holder: line.record.holder(),
+                milliseconds: (seconds * 1_000.0) as f32,
+            })
+            .collect()
+    }
+}
+
+/// Carries an order to a target for the control leader.
+async fn relay_order(
+    host: Rc<EntryHost>,
+    link: LinkHandle,
+    call: u64,
+    order: TargetOrder,
+    address: SocketAddr,
+    send_before: Timestamp,
+) {
+    let may_send = || host.now() < send_before;
+    let outcome = send_order(&*host.dialect, &host.connections, address, &order, may_send).await;
+    log::info!(
+        "event=order_relayed service={} target={} range={} fence={} outcome={outcome:?}",
+        order.service,
+        order.holder,
+        order.range,
+        order.fence,
+    );
+    link.send(&LinkMessage::Answer { call, result: CallResult::Order(outcome) });
+}
--- /dev/null
+++ b/crates/gw-gateway/src/entry/mod.rs
@@ -0,0 +1,10 @@
+//! Entry hosts: callers' requests, and the learner of the control log.
+
+mod admission;
+mod control_links;
+mod entry_host;
+mod own_answer;
+mod request_flow;
+mod run_entry;
+
+pub(crate) use run_entry::run_entry;
--- /dev/null
+++ b/crates/gw-gateway/src/http_server.rs
@@ -0,0 +1,136 @@
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+/// Wait after a connection could not be taken.
+const ACCEPT_DELAY: Duration = Duration::from_millis(20);
+
+/// Largest request head, in bytes, when nothing else is configured.
+const HEAD_BYTES: usize = 16 * 1024;
+
+/// How connections are treated.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerLimits {
+    /// Largest request head, in bytes.
+    pub(crate) head_bytes: usize,
+    /// How long a connection may be idle, or take for a request head.
+    pub(crate) idle_timeout: Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self { head_bytes: HEAD_BYTES, idle_timeout: Duration::from_secs(30) }
+    }
+}
+
+/// Number of open connections of a server.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ConnectionCount(Rc<Cell<usize>>);
+
+impl ConnectionCount {
+    /// The number.
+    pub(crate) fn get(&self) -> usize {
+        self.0.get()
+    }
+}
+
+struct OpenConnection(ConnectionCount);
+
+impl OpenConnection {
+    fn new(count: ConnectionCount) -> Self {
+        count.0.set(count.0.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.0.set(self.0.0.get() - 1);
+    }
+}
+
+/// Serves HTTP/1.1 until the process ends. Once `closing` is true, no connection is taken any
+/// more, idle ones are closed, and the others after their answer.
+///
+/// A handler's future is dropped when its caller disconnects.
+pub(crate) async fn serve<H, F>(
+    listener: TcpListener,
+    limits: impl Fn() -> ServerLimits,
+    count: ConnectionCount,
+    mut closing: watch::Receiver<bool>,
+    handler: Rc<H>,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + 'static,
+{
+    let shared = closing.clone();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => {
+                    let open = OpenConnection::new(count.clone());
+                    let (handler, closing) = (handler.clone(), shared.clone());
+                    spawn_local(serve_connection(stream, peer, limits(), closing, handler, open));
+                }
+                Err(error) => {
+                    log::warn!("event=accept_failed cause=\"{error}\"");
+                    tokio::time::sleep(ACCEPT_DELAY).await;
+                }
+            },
+            _ = closing.wait_for(|closing| *closing) => return,
+        }
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: ServerLimits,
+    mut closing: watch::Receiver<bool>,
+    handler: Rc<H>,
+    _open: OpenConnection,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + 'static,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("event=socket_option_failed peer={peer} cause=\"{error}\"");
+    }
+    let service = service_fn(move |request| {
+        let answer = handler(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.head_bytes.max(8 * 1024))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = closing.wait_for(|closing| *closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("event=caller_connection_failed peer={peer} cause=\"{error}\"");
+    }
+}
--- /dev/null
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -0,0 +1,196 @@
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::BufMut;
+use bytes::Bytes;
+use bytes::BytesMut;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use crate::link::LinkHandle;
+use crate::link::LinkMessage;
+use crate::targets::tune_socket;
+
+/// Frames that wait for one connection.
+const FRAME_QUEUE: usize = 512;
+/// Largest frame, in bytes: a snapshot with a configuration of thousands of routes.
+const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
+/// Longest time for a connection to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Wait before a failed connection is tried again.
+const RECONNECT_DELAY: Duration = Duration::from_millis(150);
+/// Time without a message after which the connecting side asks for a sign of life.
+const PING_INTERVAL: Duration = Duration::from_millis(400);
+/// Time without a message after which a connection is given up. Silent connections show no error.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+
+thread_local! {
+    static NEXT_LINK: Cell<u64> = const { Cell::new(1) };
+}
+
+/// Names a connection within the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct LinkId(u64);
+
+impl LinkId {
+    fn next() -> Self {
+        Self(NEXT_LINK.replace(NEXT_LINK.get() + 1))
+    }
+}
+
+/// What happens on connections.
+#[derive(Debug)]
+pub(crate) enum LinkEvent {
+    /// A connection to `peer` was made, by this side or by the other.
+    Opened { link: LinkHandle, peer: SocketAddr, is_own: bool },
+    /// A message came.
+    Message { link: LinkHandle, message: LinkMessage },
+    /// A connection ended.
+    Closed { id: LinkId },
+}
+
+/// A frame: the length in 4 bytes, little-endian, and the message.
+pub(crate) fn encode(message: &LinkMessage) -> Result<Bytes, postcard::Error> {
+    let body = postcard::to_stdvec(message)?;
+    let mut frame = BytesMut::with_capacity(4 + body.len());
+    frame.put_u32_le(body.len() as u32);
+    frame.extend_from_slice(&body);
+    Ok(frame.freeze())
+}
+
+/// Takes connections of other hosts for as long as the process runs.
+pub(crate) async fn accept_links(listener: TcpListener, events: mpsc::Sender<LinkEvent>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                spawn_local(run_link(stream, peer, false, events.clone()));
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed listener=peers cause=\"{error}\"");
+                tokio::time::sleep(RECONNECT_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Keeps a connection to `peer`, and makes it again when it ends, until the task is aborted.
+pub(crate) async fn keep_link(peer: SocketAddr, events: mpsc::Sender<LinkEvent>) {
+    let mut is_lost = false;
+    loop {
+        match timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await {
+            Ok(Ok(stream)) => {
+                is_lost = false;
+                run_link(stream, peer, true, events.clone()).await;
+            }
+            failed => {
+                if !is_lost {
+                    let cause = failed.err().map_or("refused", |_| "timeout");
+                    log::warn!("event=host_unreachable peer={peer} cause={cause}");
+                }
+                is_lost = true;
+            }
+        }
+        tokio::time::sleep(RECONNECT_DELAY).await;
+    }
+}
+
+async fn run_link(
+    stream: TcpStream,
+    peer: SocketAddr,
+    is_own: bool,
+    events: mpsc::Sender<LinkEvent>,
+) {
+    if let Err(error) = tune_socket(&stream) {
+        log::warn!("event=socket_option_failed peer={peer} cause=\"{error}\"");
+    }
+    let (frames, queue) = mpsc::channel(FRAME_QUEUE);
+    let link = LinkHandle::new(LinkId::next(), frames);
+    let id = link.id;
+    let opened = LinkEvent::Opened { link: link.clone(), peer, is_own };
+    if events.send(opened).await.is_err() {
+        return;
+    }
+    let (reader, writer) = stream.into_split();
+    let writing = spawn_local(write_frames(writer, queue));
+    let end = read_frames(reader, link, is_own, &events).await;
+    writing.abort();
+    let cause = end.map_or_else(|error| error.to_string(), |()| "closed".to_owned());
+    log::info!("event=link_closed peer={peer} cause=\"{cause}\"");
+    // The receiver is gone only when the process ends.
+    events.send(LinkEvent::Closed { id }).await.ok();
+}
+
+async fn write_frames(
+    mut writer: tokio::net::tcp::OwnedWriteHalf,
+    mut queue: mpsc::Receiver<Bytes>,
+) {
+    while let Some(frame) = queue.recv().await {
+        // The reading side notices a broken connection as well and reports it.
+        if timeout(SILENCE_LIMIT, writer.write_all(&frame)).await.map_or(true, |sent| sent.is_err())
+        {
+            return;
+        }
+    }
+}
+
+async fn read_frames(
+    mut reader: tokio::net::tcp::OwnedReadHalf,
+    link: LinkHandle,
+    is_own: bool,
+    events: &mpsc::Sender<LinkEvent>,
+) -> io::Result<()> {
+    let mut buffer = BytesMut::with_capacity(4 * 1024);
+    let mut heard = Instant::now();
+    loop {
+        while let Some(message) = take_frame(&mut buffer)? {
+            heard = Instant::now();
+            match message {
+                LinkMessage::Ping => {
+                    link.send(&LinkMessage::Pong);
+                }
+                LinkMessage::Pong => {}
+                message => {
+                    let link = link.clone();
+                    if events.send(LinkEvent::Message { link, message }).await.is_err() {
+                        return Ok(());
+                    }
+                }
+            }
+        }
+        if heard.elapsed() > SILENCE_LIMIT {
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "silent"));
+        }
+        match timeout(PING_INTERVAL, reader.read_buf(&mut buffer)).await {
+            Ok(Ok(0)) => return Ok(()),
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => return Err(error),
+            Err(_) if is_own => {
+                link.send(&LinkMessage::Ping);
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+fn take_frame(buffer: &mut BytesMut) -> io::Result<Option<LinkMessage>> {
+    let Some(prefix) = buffer.first_chunk::<4>() else { return Ok(None) };
+    let len = u32::from_le_bytes(*prefix) as usize;
+    if len > MAX_FRAME_BYTES {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too large"));
+    }
+    if buffer.len() < 4 + len {
+        buffer.reserve(4 + len - buffer.len());
+        return Ok(None);
+    }
+    let frame = buffer.split_to(4 + len);
+    let message = postcard::from_bytes(&frame[4..]);
+    message.map(Some).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+}
--- /dev/null
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -0,0 +1,20 @@
+//! Connections between hosts: length-prefixed postcard frames over TCP.
+
+mod link_handle;
+mod link_message;
+mod link_task;
+
+pub(crate) use link_handle::LinkHandle;
+pub(crate) use link_message::CallFailure;
+pub(crate) use link_message::CallId;
+pub(crate) use link_message::CallResult;
+pub(crate) use link_message::EntryReport;
+pub(crate) use link_message::HeadMessage;
+pub(crate) use link_message::HostKind;
+pub(crate) use link_message::LinkMessage;
+pub(crate) use link_message::RunTime;
+pub(crate) use link_message::ServiceHeat;
+pub(crate) use link_task::LinkEvent;
+pub(crate) use link_task::LinkId;
+pub(crate) use link_task::accept_links;
+pub(crate) use link_task::keep_link;
--- /dev/null
+++ b/crates/gw-gateway/src/metrics_page.rs
@@ -0,0 +1,105 @@
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the latency histograms' buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 8] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 5.0];
+
+/// Service and end of a request.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct EndLabels {
+    /// The service, or `none`.
+    pub(crate) service: String,
+    /// How it ended.
+    pub(crate) end: String,
+}
+
+/// A service.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ServiceLabels {
+    /// The service.
+    pub(crate) service: String,
+}
+
+/// What a process counts.
+pub(crate) struct MetricsPage {
+    registry: Registry,
+    requests: Family<EndLabels, Counter>,
+    latency: Family<ServiceLabels, Histogram>,
+    orders: Family<EndLabels, Counter>,
+    pub(crate) waiting: Gauge,
+    pub(crate) config_version: Gauge,
+    pub(crate) state_index: Gauge,
+    pub(crate) connections_opened: Gauge,
+    pub(crate) is_leader: Gauge,
+    pub(crate) dropped_lines: Gauge,
+}
+
+impl Default for MetricsPage {
+    fn default() -> Self {
+        let mut page = Self {
+            registry: Registry::with_prefix("galenawheel"),
+            requests: Family::default(),
+            latency: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS)),
+            orders: Family::default(),
+            waiting: Gauge::default(),
+            config_version: Gauge::default(),
+            state_index: Gauge::default(),
+            connections_opened: Gauge::default(),
+            is_leader: Gauge::default(),
+            dropped_lines: Gauge::default(),
+        };
+        page.register();
+        page
+    }
+}
+
+impl MetricsPage {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests of callers by end", self.requests.clone());
+        let help = "Time from reading a request's head to its answer, in seconds";
+        registry.register("request_seconds", help, self.latency.clone());
+        registry.register("orders", "Orders about key ranges by end", self.orders.clone());
+        registry.register("waiting_requests", "Requests that wait for room", self.waiting.clone());
+        let help = "Version of the routing configuration in force";
+        registry.register("config_version", help, self.config_version.clone());
+        let help = "Index of the control log that is applied";
+        registry.register("state_index", help, self.state_index.clone());
+        let help = "Connections to targets made since the start";
+        registry.register("target_connections_opened", help, self.connections_opened.clone());
+        registry.register("control_leader", "1 on the control leader", self.is_leader.clone());
+        let help = "Log lines dropped since the start";
+        registry.register("log_lines_dropped", help, self.dropped_lines.clone());
+    }
+
+    /// Counts a request that ended.
+    pub(crate) fn count_request(&self, service: &str, end: &str, elapsed: Duration) {
+        let labels = EndLabels { service: service.to_owned(), end: end.to_owned() };
+        self.requests.get_or_create(&labels).inc();
+        let labels = ServiceLabels { service: service.to_owned() };
+        self.latency.get_or_create(&labels).observe(elapsed.as_secs_f64());
+    }
+
+    /// Counts an order that ended.
+    pub(crate) fn count_order(&self, service: &str, end: &str) {
+        let labels = EndLabels { service: service.to_owned(), end: end.to_owned() };
+        self.orders.get_or_create(&labels).inc();
+    }
+
+    /// The page in the Prometheus text format.
+    pub(crate) fn text(&self) -> String {
+        self.dropped_lines.set(crate::log_output::dropped_lines() as i64);
+        let mut text = String::new();
+        if encode(&mut text, &self.registry).is_err() {
+            log::error!("event=metrics_not_encoded");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/gw-gateway/src/process.rs
@@ -0,0 +1,104 @@
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::Full;
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::GatewaySettings;
+use crate::control::run_control;
+use crate::entry::run_entry;
+use crate::http_server::ConnectionCount;
+use crate::http_server::ServerLimits;
+use crate::http_server::serve;
+use crate::ports::HostDialect;
+use crate::ports::SettingsSource;
+
+/// Why a process ended.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// A listener could not be opened.
+    #[error("listener {name}: cannot listen on {address}: {source}")]
+    Listen {
+        /// What the listener is for.
+        name: &'static str,
+        /// Its address.
+        address: SocketAddr,
+        /// The reason.
+        source: io::Error,
+    },
+    /// The replica's state could not be read or written.
+    #[error("data folder: {0}")]
+    Data(String),
+    /// The runtime or a signal handler could not be started.
+    #[error("cannot start: {0}")]
+    Start(#[from] io::Error),
+    /// The settings name neither a listener for callers nor one for calls.
+    #[error("the settings name no listener")]
+    NoListener,
+}
+
+/// Runs an entry host or a control host, as the settings say, until it has stopped.
+pub fn run(
+    settings: GatewaySettings,
+    dialect: Rc<dyn HostDialect>,
+    source: Rc<dyn SettingsSource>,
+) -> Result<(), RunError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    log::info!(
+        "event=started host={} zone={} address={} first_start={}",
+        settings.host,
+        settings.zone,
+        settings.address,
+        settings.is_first_start,
+    );
+    let tasks = LocalSet::new();
+    tasks.block_on(&runtime, async move {
+        match (settings.callers, settings.calls) {
+            (Some(callers), _) => run_entry(settings, dialect, source, callers).await,
+            (None, Some(calls)) => run_control(settings, dialect, source, calls).await,
+            (None, None) => Err(RunError::NoListener),
+        }
+    })
+}
+
+/// Opens a listener.
+pub(crate) async fn bind(name: &'static str, address: SocketAddr) -> Result<TcpListener, RunError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| RunError::Listen { name, address, source })
+}
+
+/// Waits for SIGTERM or SIGINT.
+pub(crate) async fn stop_asked() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let name = tokio::select! {
+        _ = terminate.recv() => "SIGTERM",
+        _ = interrupt.recv() => "SIGINT",
+    };
+    log::info!("event=signal signal={name}");
+    Ok(())
+}
+
+/// Serves the metrics page until the process ends.
+pub(crate) async fn serve_metrics(address: SocketAddr, text: impl Fn() -> String + 'static) {
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("event=metrics_not_served address={address} cause=\"{error}\"");
+            return;
+        }
+    };
+    let handler = Rc::new(move |_request, _peer| {
+        let body = Bytes::from(text());
+        async move { Response::new(Full::new(body)) }
+    });
+    let (_open, closing) = watch::channel(false);
+    serve(listener, ServerLimits::default, ConnectionCount::default(), closing, handler).await;
+}
--- /dev/null
+++ b/crates/gw-gateway/src/settings_watch.rs
@@ -0,0 +1,45 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::GatewaySettings;
+use crate::ports::SettingsSource;
+
+/// Time between two looks at the settings file, which may change without a signal.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reads the settings again when they change or on SIGHUP. Settings that cannot be used leave the
+/// old ones in force.
+pub(crate) async fn watch_settings(
+    source: Rc<dyn SettingsSource>,
+    mut take: impl FnMut(GatewaySettings),
+) {
+    let mut hangups = match signal(SignalKind::hangup()) {
+        Ok(hangups) => hangups,
+        Err(error) => {
+            log::error!("event=signal_not_watched signal=SIGHUP cause=\"{error}\"");
+            return;
+        }
+    };
+    let mut modified = source.modified();
+    loop {
+        let cause = tokio::select! {
+            _ = hangups.recv() => "signal",
+            () = tokio::time::sleep(LOOK_INTERVAL) => "changed",
+        };
+        let now = source.modified();
+        if cause == "changed" && now == modified {
+            continue;
+        }
+        modified = now;
+        match source.load() {
+            Ok(settings) => {
+                log::info!("event=settings_reloaded cause={cause} seeds={:?}", settings.seeds);
+                take(settings);
+            }
+            Err(error) => log::error!("event=settings_refused cause=\"{error}\""),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gw-gateway/src/targets/order_sender.rs
@@ -0,0 +1,58 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gw_ranges::OrderKind;
+use gw_ranges::OrderOutcome;
+use gw_ranges::TargetOrder;
+use http::Request;
+use http::header;
+use http_body_util::Full;
+use tokio::time::Instant;
+
+use crate::ports::HostDialect;
+use crate::targets::ExchangeEnd;
+use crate::targets::TargetConnections;
+
+/// Longest wait for the answer to a grant.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for the answer to a release, which comes when running work has ended.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Sends an order to a target. `may_send` is asked right before the order is handed over.
+pub(crate) async fn send_order(
+    dialect: &dyn HostDialect,
+    connections: &TargetConnections,
+    address: SocketAddr,
+    order: &TargetOrder,
+    may_send: impl Fn() -> bool,
+) -> OrderOutcome {
+    let call = dialect.write_order(order);
+    let request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(call.body));
+    let request = match request {
+        Ok(mut request) => {
+            request.headers_mut().extend(call.headers);
+            request
+        }
+        Err(error) => {
+            log::error!("event=order_not_written target={} cause=\"{error}\"", order.holder.target);
+            return OrderOutcome::NotSent;
+        }
+    };
+    let limit = match order.kind {
+        OrderKind::Grant { .. } => GRANT_TIMEOUT,
+        OrderKind::Release => RELEASE_TIMEOUT,
+    };
+    let deadline = Instant::now() + limit;
+    match connections.exchange(address, request, deadline, may_send).await {
+        ExchangeEnd::Replied(reply) => {
+            dialect.read_order_answer(order, reply.head.status, &reply.head.headers)
+        }
+        ExchangeEnd::NotSent(_) => OrderOutcome::NotSent,
+        ExchangeEnd::Broken(_) | ExchangeEnd::TimedOut => OrderOutcome::Unanswered,
+    }
+}
--- /dev/null
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -0,0 +1,192 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::targets::ExchangeEnd;
+use crate::targets::TargetReply;
+use crate::targets::socket_options::reset_on_close;
+use crate::targets::tune_socket;
+
+/// Longest time for a connection to be made; a healthy target takes a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// How long an idle connection is kept when the target names no time.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+/// Share of the idle time that the target names after which a connection is not used any more.
+const IDLE_SHARE: f64 = 0.6;
+/// Idle connections kept for one target.
+const IDLE_PER_TARGET: usize = 3;
+
+/// A connection that ends when it is dropped.
+struct TargetConnection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for TargetConnection {
+    fn drop(&mut self) {
+        // Dropping the socket cancels what the target still does for it.
+        self.driver.abort();
+    }
+}
+
+struct IdleConnection {
+    address: SocketAddr,
+    connection: TargetConnection,
+    usable_until: Instant,
+}
+
+/// Kept connections to targets. One request at a time on each.
+#[derive(Clone, Default)]
+pub(crate) struct TargetConnections {
+    idle: Rc<RefCell<Vec<IdleConnection>>>,
+    opened: Rc<std::cell::Cell<u64>>,
+}
+
+impl TargetConnections {
+    /// Connections that were made since the start.
+    pub(crate) fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<TargetConnection> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|kept| kept.usable_until > now && !kept.connection.sender.is_closed());
+        let newest = idle.iter().rposition(|kept| kept.address == address)?;
+        Some(idle.remove(newest).connection)
+    }
+
+    fn keep(&self, address: SocketAddr, connection: TargetConnection, idle_time: Duration) {
+        let mut idle = self.idle.borrow_mut();
+        let of_target = idle.iter().filter(|kept| kept.address == address).count();
+        if of_target < IDLE_PER_TARGET {
+            let usable_until = Instant::now() + idle_time;
+            idle.push(IdleConnection { address, connection, usable_until });
+        }
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<TargetConnection, String> {
+        let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let stream = match timeout_at(until, TcpStream::connect(address)).await {
+            Ok(connected) => connected.map_err(|error| error.to_string())?,
+            Err(_) => return Err("no connection in time".to_owned()),
+        };
+        let tuned = tune_socket(&stream).and_then(|()| reset_on_close(&stream));
+        tuned.map_err(|error| error.to_string())?;
+        self.opened.set(self.opened.get() + 1);
+        let handshake =
+            http1::Builder::new().max_buf_size(64 * 1024).handshake(TokioIo::new(stream));
+        let (sender, driver) = handshake.await.map_err(|error| error.to_string())?;
+        let driver = spawn_local(async move {
+            // Whoever waits for an answer is told by the sender.
+            driver.await.ok();
+        });
+        Ok(TargetConnection { sender, driver })
+    }
+
+    /// Sends a request and waits for the whole answer until `deadline`. `may_send` is asked right
+    /// before the request is handed over.
+    pub(crate) async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+        may_send: impl Fn() -> bool,
+    ) -> ExchangeEnd {
+        let mut request = request;
+        loop {
+            let kept = self.take_idle(address);
+            let is_kept = kept.is_some();
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => match self.connect(address, deadline).await {
+                    Ok(connection) => connection,
+                    Err(cause) => return ExchangeEnd::NotSent(cause),
+                },
+            };
+            if let Err(error) = connection.sender.ready().await {
+                if is_kept {
+                    continue;
+                }
+                return ExchangeEnd::NotSent(error.to_string());
+            }
+            if !may_send() {
+                return ExchangeEnd::NotSent("no longer allowed".to_owned());
+            }
+            let started = Instant::now();
+            let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
+            match sent {
+                Err(_) => return ExchangeEnd::TimedOut,
+                Ok(Ok(response)) => {
+                    return self.read_reply(address, connection, response, started, deadline).await;
+                }
+                Ok(Err(mut failed)) => match failed.take_message() {
+                    Some(unsent) if is_kept => request = unsent,
+                    Some(_) => return ExchangeEnd::NotSent(failed.into_error().to_string()),
+                    None => return ExchangeEnd::Broken(failed.into_error().to_string()),
+                },
+            }
+        }
+    }
+
+    async fn read_reply(
+        &self,
+        address: SocketAddr,
+        connection: TargetConnection,
+        response: Response<Incoming>,
+        started: Instant,
+        deadline: Instant,
+    ) -> ExchangeEnd {
+        let (head, body) = response.into_parts();
+        let body = match timeout_at(deadline, body.collect()).await {
+            Err(_) => return ExchangeEnd::TimedOut,
+            Ok(Err(error)) => return ExchangeEnd::Broken(error.to_string()),
+            Ok(Ok(collected)) => collected.to_bytes(),
+        };
+        let closes = head.headers.get(header::CONNECTION).is_some_and(|value| {
+            value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
+        });
+        let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
+            || head.headers.contains_key(header::TRANSFER_ENCODING);
+        if !closes && is_framed {
+            self.keep(address, connection, idle_time(&head.headers));
+        }
+        ExchangeEnd::Replied(TargetReply { head, body, elapsed: started.elapsed() })
+    }
+
+    /// Drops kept connections to `address`, after an answer that did not belong there.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().retain(|kept| kept.address != address);
+    }
+}
+
+/// How long a connection may stay idle, from the `Keep-Alive` field.
+fn idle_time(headers: &http::HeaderMap) -> Duration {
+    let value = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let parts = value.into_iter().flat_map(|value| value.split(','));
+    let mut seconds = parts.filter_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok());
+    seconds
+        .next()
+        .map_or(IDLE_TIME, |seconds: u64| Duration::from_secs(seconds).mul_f64(IDLE_SHARE))
+}
--- /dev/null
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -0,0 +1,373 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use gw_types::ServiceName;
+use gw_types::Timestamp;
+
+use crate::GranterOptions;
+use crate::HeatMap;
+use crate::HolderStanding;
+use crate::KeyRange;
+use crate::OrderKind;
+use crate::OrderOutcome;
+use crate::RangeCandidate;
+use crate::RangeCommand;
+use crate::RangeHolder;
+use crate::RangeTable;
+use crate::RangeTransfer;
+use crate::TargetOrder;
+use crate::plan_moves;
+use crate::range_lease::MoveStage;
+use crate::range_lease::RangeLease;
+
+/// Time after which a proposal that had no effect is made again.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Orders in a row that must fail before a silent holder is given up.
+const GIVE_UP_FAILURES: u32 = 3;
+
+/// What the leader has to do for a granter.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GranterAction {
+    /// Send an order and report its outcome.
+    Order(TargetOrder),
+    /// Put a change of the table into the replicated log.
+    Propose(RangeCommand),
+}
+
+/// Grants the ranges of one service to their holders and moves them, on the leader.
+///
+/// Invariant: [`RangeCommand::Assign`] is proposed for held keys only when their holder has
+/// confirmed the release and no grant without an answer can still take effect, or when its last
+/// possible hold has run out.
+///
+/// A new granter does not know what earlier leaders granted last, and takes it that they granted
+/// everything just before it started.
+#[derive(Debug)]
+pub struct RangeGranter {
+    service: ServiceName,
+    options: GranterOptions,
+    /// Sorted by range; follows the table.
+    leases: Vec<RangeLease>,
+    /// Handover tokens of ranges that were assigned and not granted yet.
+    handovers: Vec<(KeyRange, Arc<str>)>,
+    next_number: u64,
+    next_plan: Timestamp,
+    /// Whether the table was not looked at yet.
+    is_fresh: bool,
+}
+
+impl RangeGranter {
+    /// A granter of a leader that starts `now`.
+    pub fn new(service: ServiceName, options: GranterOptions, now: Timestamp) -> Self {
+        // Orders of an earlier granter of this process may still be under way.
+        let next_number = now.as_nanos();
+        let (leases, handovers) = (Vec::new(), Vec::new());
+        Self { service, options, leases, handovers, next_number, next_plan: now, is_fresh: true }
+    }
+
+    /// The service.
+    pub fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    /// Whether every range is granted and none is moving.
+    pub fn is_settled(&self) -> bool {
+        !self.leases.is_empty()
+            && self.leases.iter().all(|lease| lease.is_granted && lease.stage == MoveStage::Held)
+    }
+
+    /// Orders in a row to `holder` that failed.
+    pub fn failures_of(&self, holder: &RangeHolder) -> u32 {
+        let held = self.leases.iter().filter(|lease| lease.holder == *holder);
+        held.map(|lease| lease.failures).min().unwrap_or(0)
+    }
+
+    /// Follows the replicated table and returns what is due. `candidates` are sorted by holder.
+    pub fn step(
+        &mut self,
+        now: Timestamp,
+        table: &RangeTable,
+        candidates: &[RangeCandidate],
+        heat: &HeatMap,
+    ) -> Vec<GranterAction> {
+        self.follow_table(now, table);
+        let mut actions = Vec::new();
+        for index in 0..self.leases.len() {
+            self.step_lease(now, index, table, candidates, &mut actions);
+        }
+        self.renew_fences(now, &mut actions);
+        if now >= self.next_plan {
+            self.next_plan = now + self.options.plan_interval;
+            self.plan(now, table, candidates, heat, &mut actions);
+        }
+        actions
+    }
+
+    fn follow_table(&mut self, now: Timestamp, table: &RangeTable) {
+        let old = std::mem::take(&mut self.leases);
+        let is_fresh = std::mem::take(&mut self.is_fresh);
+        let slack = if is_fresh { self.options.takeover_slack } else { Duration::ZERO };
+        let longest_hold = self.options.longest_hold() + slack;
+        for held in table.assignments() {
+            let Some(holder) = &held.holder else { continue };
+            let same = old.iter().filter(|lease| {
+                lease.range.overlaps(held.range)
+                    && lease.holder == *holder
+                    && lease.fence == held.fence
+            });
+            // Doubts about earlier grants to the same holder outlive their fencing token.
+            let doubt = old
+                .iter()
+                .filter(|lease| lease.range.overlaps(held.range) && lease.holder == *holder)
+                .map(|lease| lease.unanswered_until)
+                .max();
+            let mut lease = same.clone().next().cloned().unwrap_or_else(|| RangeLease {
+                range: held.range,
+                holder: holder.clone(),
+                fence: held.fence,
+                held_until: now + longest_hold,
+                unanswered_until: if is_fresh { now + longest_hold } else { doubt.unwrap_or(now) },
+                next_order: now,
+                order: None,
+                failures: 0,
+                is_granted: false,
+                needs_fence: is_fresh && held.successor.is_none(),
+                stage: MoveStage::Held,
+                handover: None,
+                proposed: None,
+            });
+            for part in same.skip(1) {
+                lease.held_until = lease.held_until.max(part.held_until);
+                lease.unanswered_until = lease.unanswered_until.max(part.unanswered_until);
+                lease.order = lease.order.or(part.order);
+            }
+            if lease.range != held.range {
+                lease.range = held.range;
+                lease.next_order = now;
+            }
+            match (&held.successor, &lease.stage) {
+                (Some(_), MoveStage::Held) => {
+                    let until = now + self.options.settle_time;
+                    lease.stage = MoveStage::Settling { until };
+                    lease.proposed = None;
+                    lease.next_order = until;
+                }
+                (None, MoveStage::Settling { .. } | MoveStage::Released { .. }) => {
+                    lease.stage = MoveStage::Held;
+                    lease.next_order = now;
+                }
+                _ => {}
+            }
+            if !lease.is_granted && lease.handover.is_none() {
+                let token = self.handovers.iter().find(|(range, _)| range.covers(lease.range));
+                lease.handover = token.map(|(_, token)| token.clone());
+            }
+            self.leases.push(lease);
+        }
+        let leases = &self.leases;
+        self.handovers.retain(|(range, _)| {
+            leases.iter().any(|lease| range.overlaps(lease.range) && !lease.is_granted)
+        });
+    }
+
+    fn step_lease(
+        &mut self,
+        now: Timestamp,
+        index: usize,
+        table: &RangeTable,
+        candidates: &[RangeCandidate],
+        actions: &mut Vec<GranterAction>,
+    ) {
+        let standing = standing_of(&self.leases[index].holder, candidates);
+        let lease = &mut self.leases[index];
+        if lease.proposed.is_some_and(|at| now.since(at) > PROPOSAL_TIMEOUT) {
+            lease.proposed = None;
+        }
+        let kind = match &lease.stage {
+            MoveStage::Held if lease.needs_fence => return,
+            MoveStage::Held => {
+                if standing == HolderStanding::Ended {
+                    return;
+                }
+                let hold = self.options.hold;
+                OrderKind::Grant { hold, handover: lease.handover.clone() }
+            }
+            MoveStage::Settling { until } => {
+                if now < *until || lease.order.is_some() {
+                    return;
+                }
+                // Also a run that has ended is released: a later run at its address may have taken
+                // a grant that was meant for it.
+                if now >= lease.held_until {
+                    lease.stage = MoveStage::Released { handover: None };
+                    lease.unanswered_until = now;
+                    return self.finish_move(now, index, table, actions);
+                }
+                OrderKind::Release
+            }
+            MoveStage::Released { .. } => {
+                return self.finish_move(now, index, table, actions);
+            }
+        };
+        if lease.order.is_some() || now < lease.next_order {
+            return;
+        }
+        let number = self.next_number;
+        self.next_number += 1;
+        lease.order = Some(number);
+        if matches!(kind, OrderKind::Grant { .. }) {
+            lease.held_until = lease.held_until.max(now + self.options.longest_hold());
+        }
+        actions.push(GranterAction::Order(TargetOrder {
+            number,
+            holder: lease.holder.clone(),
+            service: self.service.clone(),
+            range: lease.range,
+            fence: lease.fence,
+            kind,
+        }));
+    }
+
+    /// Proposes new fencing tokens for the holders whose tokens must not be used again. One command
+    /// gives one token to all, so that neighbours of one holder become one range.
+    fn renew_fences(&mut self, now: Timestamp, actions: &mut Vec<GranterAction>) {
+        let due = self.leases.iter_mut().filter(|lease| {
+            lease.needs_fence
+                && lease.stage == MoveStage::Held
+                && lease.proposed.is_none()
+                && lease.order.is_none()
+        });
+        let moves: Vec<_> = due
+            .map(|lease| {
+                lease.proposed = Some(now);
+                RangeTransfer { range: lease.range, to: lease.holder.clone(), fence: lease.fence }
+            })
+            .collect();
+        if !moves.is_empty() {
+            let service = self.service.clone();
+            actions.push(GranterAction::Propose(RangeCommand::Assign { service, moves }));
+        }
+    }
+
+    fn finish_move(
+        &mut self,
+        now: Timestamp,
+        index: usize,
+        table: &RangeTable,
+        actions: &mut Vec<GranterAction>,
+    ) {
+        let lease = &mut self.leases[index];
+        if now < lease.unanswered_until || lease.proposed.is_some() {
+            return;
+        }
+        let successor = table.find(lease.range.first).successor.clone();
+        let (MoveStage::Released { handover }, Some(to)) = (&lease.stage, successor) else {
+            return;
+        };
+        if let Some(token) = handover {
+            self.handovers.push((lease.range, token.clone()));
+        }
+        lease.proposed = Some(now);
+        let moves = vec![RangeTransfer { range: lease.range, to, fence: lease.fence }];
+        let service = self.service.clone();
+        actions.push(GranterAction::Propose(RangeCommand::Assign { service, moves }));
+    }
+
+    /// Takes the outcome of an order. `now` is when the sender was done with it: an order that was
+    /// given up cannot arrive after that.
+    pub fn order_done(&mut self, now: Timestamp, order: &TargetOrder, outcome: &OrderOutcome) {
+        let longest_hold = self.options.longest_hold();
+        let (retry, renewal) = (self.options.retry_interval, self.options.renewal_interval);
+        let parts = self.leases.iter_mut().filter(|lease| {
+            lease.range.overlaps(order.range)
+                && lease.holder == order.holder
+                && lease.fence == order.fence
+        });
+        for lease in parts {
+            if lease.order == Some(order.number) {
+                lease.order = None;
+            }
+            let is_grant = matches!(order.kind, OrderKind::Grant { .. });
+            lease.failures = match outcome {
+                OrderOutcome::Done { .. } | OrderOutcome::Refused => 0,
+                OrderOutcome::Unanswered | OrderOutcome::NotSent => lease.failures + 1,
+            };
+            match outcome {
+                OrderOutcome::Done { .. } if is_grant => {
+                    lease.held_until = lease.held_until.max(now + longest_hold);
+                    lease.is_granted = true;
+                    lease.handover = None;
+                    if !lease.needs_fence {
+                        lease.unanswered_until = now;
+                    }
+                    if lease.stage == MoveStage::Held {
+                        lease.next_order = now + renewal;
+                    }
+                }
+                OrderOutcome::Done { handover } => {
+                    if matches!(lease.stage, MoveStage::Settling { .. }) {
+                        lease.stage = MoveStage::Released { handover: handover.clone() };
+                    }
+                }
+                OrderOutcome::Unanswered if is_grant => {
+                    lease.held_until = lease.held_until.max(now + longest_hold);
+                    lease.unanswered_until = lease.unanswered_until.max(now + longest_hold);
+                    lease.needs_fence = true;
+                }
+                OrderOutcome::Refused if is_grant => lease.needs_fence = true,
+                _ => lease.next_order = now + retry,
+            }
+        }
+    }
+
+    fn plan(
+        &mut self,
+        now: Timestamp,
+        table: &RangeTable,
+        candidates: &[RangeCandidate],
+        heat: &HeatMap,
+        actions: &mut Vec<GranterAction>,
+    ) {
+        let mut seen = candidates.to_vec();
+        for candidate in &mut seen {
+            // A holder that takes grants is alive, whatever else is heard of it.
+            if candidate.standing == HolderStanding::Silent
+                && self.failures_of(&candidate.holder) < GIVE_UP_FAILURES
+            {
+                candidate.standing = HolderStanding::Leaving;
+                if self.leases.iter().any(|lease| lease.holder == candidate.holder) {
+                    candidate.standing = HolderStanding::Serving;
+                }
+            }
+        }
+        let moves = plan_moves(table, &seen, heat, |held| {
+            // Keys of a holder with a grant in doubt could not be served until the doubt is over.
+            let lease = self.leases.iter().find(|lease| lease.range == held.range);
+            lease.is_some_and(|lease| lease.is_granted && now >= lease.unanswered_until)
+        });
+        let (first, later): (Vec<_>, Vec<_>) = moves
+            .into_iter()
+            .partition(|transfer| table.find(transfer.range.first).holder.is_none());
+        let service = &self.service;
+        if !first.is_empty() {
+            let (service, moves) = (service.clone(), first);
+            actions.push(GranterAction::Propose(RangeCommand::Assign { service, moves }));
+        }
+        if !later.is_empty() {
+            let (service, moves) = (service.clone(), later);
+            actions.push(GranterAction::Propose(RangeCommand::Announce { service, moves }));
+        }
+    }
+}
+
+/// What is believed of `holder`. A holder that nobody announces any more may still run.
+fn standing_of(holder: &RangeHolder, candidates: &[RangeCandidate]) -> HolderStanding {
+    let later_run = |candidate: &&RangeCandidate| {
+        candidate.holder.target == holder.target && candidate.holder.run > holder.run
+    };
+    if candidates.iter().any(|candidate| later_run(&candidate)) {
+        return HolderStanding::Ended;
+    }
+    let found = candidates.iter().find(|candidate| candidate.holder == *holder);
+    found.map_or(HolderStanding::Silent, |candidate| candidate.standing)
+}
--- /dev/null
+++ b/crates/gw-routing/src/config_version.rs
@@ -0,0 +1,17 @@
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Number of a configuration. Higher numbers win; gaps are allowed.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ConfigVersion(pub u64);
+
+impl fmt::Display for ConfigVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/gw-routing/src/lib.rs
@@ -0,0 +1,27 @@
+//! Routing configuration: routes, services, weighted splits and caller limits.
+//!
+//! A [`RoutingConfig`] is one complete version of what operators want. The highest version wins;
+//! a version is in force as a whole or not at all. [`RoutingConfig::check`] refuses configurations
+//! that cannot be served, [`RoutingConfig::find_route`] selects the route of a request, and
+//! [`SplitCursor`] spreads the requests of a route over its services.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod caller_limits;
+mod config_error;
+mod config_version;
+mod route_rule;
+mod routing_config;
+mod service_spec;
+mod split_cursor;
+
+pub use caller_limits::CallerLimits;
+pub use config_error::ConfigError;
+pub use config_version::ConfigVersion;
+pub use route_rule::RepeatRule;
+pub use route_rule::RouteRule;
+pub use route_rule::ServiceShare;
+pub use routing_config::HostRules;
+pub use routing_config::RoutingConfig;
+pub use service_spec::ServiceSpec;
+pub use split_cursor::SplitCursor;
