fix(gw-gateway): the control group forms whatever order its first members are recorded in

Cause: first members were recorded one command at a time; after the first one, followers took the others for removed, and these wiped their folders and came back as first members. Ruled out: the election (a leader was there 0.9 s after the start). After: recorded by one command, removal is judged by the leader from ids that were given.

--- a/crates/gw-fleet/src/fleet_command.rs
+++ b/crates/gw-fleet/src/fleet_command.rs
@@ -8,16 +8,17 @@
 use serde::Serialize;
 
 use crate::DepartureCause;
+use crate::ReplicaRecord;
 use crate::StoredConfig;
 use crate::TargetRecord;
 
 /// A replicated change.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FleetCommand {
+    /// Records the first members, whose ids follow from the settings. Has no effect later.
+    SetFirstReplicas(Vec<ReplicaRecord>),
     /// Gives a replica an id, or returns the one that the same data folder has.
     AddReplica {
-        /// The id of a first member, which follows from the settings; `None` for a new one.
-        id: Option<HostId>,
         /// Names the data folder.
         folder: u64,
         /// Where other hosts reach it.
--- a/crates/gw-fleet/src/fleet_state.rs
+++ b/crates/gw-fleet/src/fleet_state.rs
@@ -51,8 +51,9 @@
     /// Applies the next command of the log.
     pub fn apply(&mut self, command: &FleetCommand) -> FleetOutcome {
         match command {
-            FleetCommand::AddReplica { id, folder, peers, calls } => {
-                self.add_replica(*id, *folder, *peers, *calls)
+            FleetCommand::SetFirstReplicas(first) => self.set_first_replicas(first),
+            FleetCommand::AddReplica { folder, peers, calls } => {
+                self.add_replica(*folder, *peers, *calls)
             }
             FleetCommand::RemoveReplica { id } => {
                 self.replicas.retain(|replica| replica.id != *id);
@@ -73,22 +74,23 @@
         }
     }
 
-    fn add_replica(
-        &mut self,
-        id: Option<HostId>,
-        folder: u64,
-        peers: SocketAddr,
-        calls: SocketAddr,
-    ) -> FleetOutcome {
-        let is_same = |replica: &&ReplicaRecord| replica.folder == folder || Some(replica.id) == id;
-        if let Some(known) = self.replicas.iter().find(is_same) {
+    fn set_first_replicas(&mut self, first: &[ReplicaRecord]) -> FleetOutcome {
+        if self.last_replica > 0 {
+            return FleetOutcome::Superseded;
+        }
+        self.replicas = first.to_vec();
+        self.replicas.sort_by_key(|replica| replica.id);
+        self.last_replica = self.replicas.last().map_or(0, |replica| replica.id.0);
+        FleetOutcome::Applied
+    }
+
+    fn add_replica(&mut self, folder: u64, peers: SocketAddr, calls: SocketAddr) -> FleetOutcome {
+        if let Some(known) = self.replicas.iter().find(|replica| replica.folder == folder) {
             return FleetOutcome::Replica(known.id);
         }
-        let id = id.unwrap_or(HostId(self.last_replica + 1));
-        self.last_replica = self.last_replica.max(id.0);
-        let record = ReplicaRecord { id, folder, peers, calls };
-        let position = self.replicas.partition_point(|replica| replica.id < id);
-        self.replicas.insert(position, record);
+        self.last_replica += 1;
+        let id = HostId(self.last_replica);
+        self.replicas.push(ReplicaRecord { id, folder, peers, calls });
         FleetOutcome::Replica(id)
     }
 
@@ -192,6 +194,11 @@
         &self.replicas
     }
 
+    /// Whether `id` was given once and belongs to no replica any more.
+    pub fn is_removed(&self, id: HostId) -> bool {
+        id.0 <= self.last_replica && !self.replicas.iter().any(|replica| replica.id == id)
+    }
+
     /// The configuration in force, with the operators' text.
     pub fn stored_config(&self) -> Option<&StoredConfig> {
         self.config.as_ref()
--- a/crates/gw-fleet/tests/fleet_state.rs
+++ b/crates/gw-fleet/tests/fleet_state.rs
@@ -6,6 +6,7 @@
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
 use gw_fleet::FleetState;
+use gw_fleet::ReplicaRecord;
 use gw_fleet::StoredConfig;
 use gw_fleet::TargetPhase;
 use gw_fleet::TargetRecord;
@@ -153,22 +154,26 @@
     }
 }
 
-/// Guards against two replicas with one id, and against a wiped disk that gets its old id back.
+/// Guards against two replicas with one id, against a wiped disk that gets its old id back, and
+/// against first members that count as removed while they are recorded.
 #[test]
 fn replica_ids_are_given_once() {
     let mut state = FleetState::default();
     let address = ([127, 0, 0, 1], 1).into();
-    let mut add = |id, folder| {
-        state.apply(&FleetCommand::AddReplica { id, folder, peers: address, calls: address })
-    };
-    assert_eq!(add(Some(HostId(1)), 10), FleetOutcome::Replica(HostId(1)));
-    assert_eq!(add(None, 20), FleetOutcome::Replica(HostId(2)));
-    assert_eq!(add(None, 20), FleetOutcome::Replica(HostId(2)));
-    state.apply(&FleetCommand::RemoveReplica { id: HostId(2) });
-    let mut add = |id, folder| {
-        state.apply(&FleetCommand::AddReplica { id, folder, peers: address, calls: address })
-    };
-    assert_eq!(add(None, 30), FleetOutcome::Replica(HostId(3)));
+    let record =
+        |id, folder| ReplicaRecord { id: HostId(id), folder, peers: address, calls: address };
+    let first = FleetCommand::SetFirstReplicas(vec![record(2, 12), record(1, 11)]);
+    assert!(!state.is_removed(HostId(2)));
+    assert_eq!(state.apply(&first), FleetOutcome::Applied);
+    assert!(!state.is_removed(HostId(2)));
+    let add = |folder| FleetCommand::AddReplica { folder, peers: address, calls: address };
+    assert_eq!(state.apply(&add(20)), FleetOutcome::Replica(HostId(3)));
+    assert_eq!(state.apply(&add(20)), FleetOutcome::Replica(HostId(3)));
+    state.apply(&FleetCommand::RemoveReplica { id: HostId(3) });
+    assert!(state.is_removed(HostId(3)));
+    assert_eq!(state.apply(&add(30)), FleetOutcome::Replica(HostId(4)));
+    assert_eq!(state.apply(&first), FleetOutcome::Superseded);
+    assert_eq!(state.replicas().len(), 3);
 }
 
 /// Guards against a stale plan that takes keys from their present holder, and against equal tokens.
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -103,8 +103,6 @@
     pub(crate) replica: RefCell<Option<Replica>>,
     pub(crate) log: RefCell<FleetLog>,
     pub(crate) links: RefCell<Vec<PeerLink>>,
-    /// Addresses of other replicas by id, as far as known from elsewhere than the state.
-    pub(crate) first_peers: RefCell<Vec<(HostId, SocketAddr)>>,
     pub(crate) watch: RefCell<TargetWatch>,
     /// Targets heard on a follower, for the leader.
     pub(crate) heard: RefCell<BTreeSet<TargetName>>,
@@ -137,7 +135,6 @@
             replica: RefCell::default(),
             log: RefCell::default(),
             links: RefCell::default(),
-            first_peers: RefCell::default(),
             watch: RefCell::default(),
             heard: RefCell::default(),
             ranges: RefCell::new(RangeKeeper::new(settings.longest_hold)),
@@ -301,6 +298,10 @@
         };
         let outcome = self.log.borrow_mut().apply(index, command.as_ref());
         if let (Some(command), Some(outcome)) = (&command, outcome) {
+            if let FleetCommand::PutTarget(record) = command {
+                // It announced itself a moment ago, maybe to another replica.
+                self.watch.borrow_mut().note_heard(self.now(), &record.name);
+            }
             log_applied(index, command, outcome);
         }
         let mut waiting = self.waiting.borrow_mut();
@@ -446,10 +447,10 @@
     pub(crate) fn peer_address(&self, id: HostId) -> Option<SocketAddr> {
         let log = self.log.borrow();
         let known = log.state().replicas().iter().find(|replica| replica.id == id);
-        let first = self.first_peers.borrow();
-        known
-            .map(|replica| replica.peers)
-            .or_else(|| first.iter().find(|(first, _)| *first == id).map(|(_, peers)| *peers))
+        let identity = self.identity.borrow();
+        let remembered = identity.as_ref().map_or(&[][..], |identity| &identity.peers);
+        let mut remembered = remembered.iter().filter(|(peer, _)| *peer == id);
+        known.map(|known| known.peers).or_else(|| remembered.next().map(|(_, peers)| *peers))
     }
 
     /// The own connection to a replica.
@@ -463,9 +464,11 @@
 
 fn log_applied(index: u64, command: &FleetCommand, outcome: FleetOutcome) {
     match command {
-        FleetCommand::AddReplica { id, folder, peers, .. } => log::info!(
-            "event=replica_added index={index} id={id:?} folder={folder:x} peers={peers} \
-             outcome={outcome:?}"
+        FleetCommand::SetFirstReplicas(first) => {
+            log::info!("event=first_replicas index={index} count={}", first.len());
+        }
+        FleetCommand::AddReplica { folder, peers, .. } => log::info!(
+            "event=replica_added index={index} folder={folder:x} peers={peers} outcome={outcome:?}"
         ),
         FleetCommand::RemoveReplica { id } => {
             log::info!("event=replica_removed index={index} id={}", id.0);
--- a/crates/gw-gateway/src/control/group_keeper.rs
+++ b/crates/gw-gateway/src/control/group_keeper.rs
@@ -24,7 +24,6 @@
         let settings = self.settings.borrow().clone();
         let Some(data) = &settings.data else { return Ok(()) };
         if let Some(identity) = ReplicaIdentity::load(data)? {
-            self.note_first_peers(&identity);
             *self.identity.borrow_mut() = Some(identity);
             return Ok(());
         }
@@ -34,29 +33,37 @@
         let identity = match position.filter(|_| settings.is_first_start) {
             Some(position) => {
                 let id = HostId(position as u16 + 1);
-                let first_members = (1..=seeds.len() as u16).map(HostId).collect();
-                ReplicaIdentity { folder: u64::from(id.0), id: Some(id), first_members }
+                let first_members: Vec<_> = (1..=seeds.len() as u16).map(HostId).collect();
+                let peers = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), settings.peer_port));
+                let peers = first_members.iter().copied().zip(peers).collect();
+                ReplicaIdentity { folder: u64::from(id.0), id: Some(id), first_members, peers }
             }
-            None => ReplicaIdentity { folder: rand::random(), id: None, first_members: Vec::new() },
+            None => ReplicaIdentity::of_new_replica(),
         };
         identity.save(data)?;
         log::info!("event=identity_created id={:?} folder={:x}", identity.id, identity.folder);
-        self.note_first_peers(&identity);
         *self.identity.borrow_mut() = Some(identity);
         Ok(())
     }
 
-    /// First members know each other from the settings until the log says it.
-    fn note_first_peers(&self, identity: &ReplicaIdentity) {
-        let settings = self.settings.borrow();
-        if identity.first_members.len() != settings.seeds.len() || !settings.is_first_start {
+    /// Keeps the addresses of the other replicas for a restart.
+    pub(crate) fn remember_peers(&self) {
+        let replicas = self.log.borrow().state().replicas().to_vec();
+        let peers: Vec<_> = replicas.iter().map(|known| (known.id, known.peers)).collect();
+        let Some(mut identity) = self.identity.borrow().clone() else { return };
+        if peers.is_empty() || identity.peers == peers {
             return;
         }
-        let mut seeds = settings.seeds.clone();
-        seeds.sort();
-        let peers = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), settings.peer_port));
-        let ids = identity.first_members.iter().copied();
-        *self.first_peers.borrow_mut() = ids.zip(peers).collect();
+        identity.peers = peers;
+        self.save_identity(identity);
+    }
+
+    fn save_identity(&self, identity: ReplicaIdentity) {
+        let data = self.settings.borrow().data.clone();
+        match data.map(|data| identity.save(&data)) {
+            Some(Err(error)) => log::error!("event=identity_not_saved cause=\"{error}\""),
+            _ => *self.identity.borrow_mut() = Some(identity),
+        }
     }
 
     /// Asks all connected control hosts for an id.
@@ -96,7 +103,7 @@
             return;
         }
         log::info!("event=replica_joins folder={folder:x} peers={peers}");
-        self.command(FleetCommand::AddReplica { id: None, folder, peers, calls });
+        self.command(FleetCommand::AddReplica { folder, peers, calls });
     }
 
     /// Takes the id that the group has given.
@@ -106,15 +113,8 @@
             return;
         }
         identity.id = Some(id);
-        let data = self.settings.borrow().data.clone();
-        let saved = data.map(|data| identity.save(&data));
-        if let Some(Err(error)) = saved {
-            log::error!("event=identity_not_saved cause=\"{error}\"");
-            return;
-        }
-        let peers = replicas.iter().map(|replica| (replica.id, replica.peers));
-        *self.first_peers.borrow_mut() = peers.collect();
-        *self.identity.borrow_mut() = Some(identity);
+        identity.peers = replicas.iter().map(|known| (known.id, known.peers)).collect();
+        self.save_identity(identity);
     }
 
     /// The group no longer counts this replica: it becomes a new one.
@@ -130,7 +130,8 @@
             log::error!("event=data_not_removed cause=\"{error}\"");
             return;
         }
-        *self.identity.borrow_mut() = None;
+        // Never again as a first member: what that one promised is forgotten.
+        self.save_identity(ReplicaIdentity::of_new_replica());
     }
 
     /// Puts a command into the log without waiting for it.
@@ -181,16 +182,15 @@
     }
 
     fn record_first_members(&self) {
-        let settings = self.settings.borrow();
-        let first = self.first_peers.borrow().clone();
-        let calls_port = self.calls_address.port();
-        let own = SocketAddr::new(settings.address, settings.peer_port);
-        log::info!("event=first_members own={own} members={first:?}");
-        drop(settings);
-        for (id, peers) in first {
-            let calls = SocketAddr::new(peers.ip(), calls_port);
-            let folder = u64::from(id.0);
-            self.command(FleetCommand::AddReplica { id: Some(id), folder, peers, calls });
-        }
+        let Some(identity) = self.identity.borrow().clone() else { return };
+        let port = self.calls_address.port();
+        log::info!("event=first_members members={:?}", identity.peers);
+        let first = identity.peers.iter().map(|&(id, peers)| ReplicaRecord {
+            id,
+            folder: u64::from(id.0),
+            peers,
+            calls: SocketAddr::new(peers.ip(), port),
+        });
+        self.command(FleetCommand::SetFirstReplicas(first.collect()));
     }
 }
--- a/crates/gw-gateway/src/control/link_keeper.rs
+++ b/crates/gw-gateway/src/control/link_keeper.rs
@@ -63,10 +63,11 @@
         let log = self.host.log.borrow();
         let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
         let known = log.state().replicas().iter().map(|replica| replica.peers);
-        let first = self.host.first_peers.borrow();
-        let first = first.iter().map(|(_, peers)| *peers);
+        let identity = self.host.identity.borrow();
+        let remembered = identity.as_ref().map_or(&[][..], |identity| &identity.peers);
+        let remembered = remembered.iter().map(|(_, peers)| *peers);
         let mut wanted: Vec<SocketAddr> =
-            seeds.chain(known).chain(first).filter(|peer| *peer != own).collect();
+            seeds.chain(known).chain(remembered).filter(|peer| *peer != own).collect();
         wanted.sort();
         wanted.dedup();
         self.dialed.retain(|peer, task| {
@@ -124,12 +125,8 @@
                 if own != Some(to) {
                     return;
                 }
-                let is_removed = {
-                    let log = host.log.borrow();
-                    let replicas = log.state().replicas();
-                    !replicas.is_empty() && !replicas.iter().any(|replica| replica.id == from)
-                };
-                if is_removed && host.is_current() {
+                let is_removed = host.log.borrow().state().is_removed(from);
+                if is_removed && host.leads() {
                     link.send(&LinkMessage::Removed { id: from });
                     return;
                 }
--- a/crates/gw-gateway/src/control/replica_identity.rs
+++ b/crates/gw-gateway/src/control/replica_identity.rs
@@ -2,6 +2,7 @@
 use std::fs::File;
 use std::io;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::path::Path;
 
 use gw_types::HostId;
@@ -24,9 +25,18 @@
     pub(crate) id: Option<HostId>,
     /// The first members, if this replica is one of them.
     pub(crate) first_members: Vec<HostId>,
+    /// Replicas that were known last, with their addresses. After a restart of the whole group,
+    /// replicas have to reach each other before the log can say where they are.
+    pub(crate) peers: Vec<(HostId, SocketAddr)>,
 }
 
 impl ReplicaIdentity {
+    /// A replica that has to join a running group.
+    pub(crate) fn of_new_replica() -> Self {
+        let (first_members, peers) = (Vec::new(), Vec::new());
+        Self { folder: rand::random(), id: None, first_members, peers }
+    }
+
     /// Reads the identity from the data folder; `None` if the folder has none.
     pub(crate) fn load(data: &Path) -> io::Result<Option<Self>> {
         match fs::read(data.join(FILE_NAME)) {
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -114,6 +114,7 @@
     if round != 0 {
         return;
     }
+    host.remember_peers();
     keeper.dial();
     let head = LinkMessage::Head(head_message(host));
     for link in host.links.borrow().iter().filter(|link| link.is_entry()) {
