--- a/crates/gw-routing/src/config_error.rs
+++ b/crates/gw-routing/src/config_error.rs
@@ -47,6 +47,18 @@
         /// The route's name.
         route: String,
     },
+    /// A timeout in which no request can be answered.
+    #[error("route {route:?}: the timeout is 0")]
+    NoTimeout {
+        /// The route's name.
+        route: String,
+    },
+    /// A route whose requests may not be sent to any target.
+    #[error("route {route:?}: allows no attempt")]
+    NoAttempt {
+        /// The route's name.
+        route: String,
+    },
     /// A service that is defined more than once.
     #[error("service {service} is defined twice")]
     DuplicateService {
--- a/crates/gw-routing/src/routing_config.rs
+++ b/crates/gw-routing/src/routing_config.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use gw_types::ServiceName;
 use serde::Deserialize;
@@ -57,6 +58,12 @@
             let prefix = rule.path_prefix.to_string();
             return Err(ConfigError::Prefix { route: route(), prefix });
         }
+        if rule.timeout == Some(Duration::ZERO) {
+            return Err(ConfigError::NoTimeout { route: route() });
+        }
+        if rule.max_attempts == 0 {
+            return Err(ConfigError::NoAttempt { route: route() });
+        }
         if rule.shares.is_empty() {
             return Err(ConfigError::NoService { route: route() });
         }
--- a/crates/gw-routing/tests/routing_config.rs
+++ b/crates/gw-routing/tests/routing_config.rs
@@ -58,6 +58,7 @@
 /// Guards against accepting a configuration that cannot be served.
 #[test]
 fn invalid_configurations_are_refused() {
+    let good = || rule("/a/", &[("slips", 1.0)]);
     let mut duplicate = config("a.example", Vec::new());
     duplicate.services.push(spec("slips"));
     let cases = [
@@ -91,6 +92,19 @@
             config: config("a.example", vec![rule("/a/", &[("slips", 0.0)])]),
             is_refused: |error| matches!(error, ConfigError::NoWeight { .. }),
         },
+        CheckCase {
+            name: "timeout of 0",
+            config: config(
+                "a.example",
+                vec![RouteRule { timeout: Some(Duration::ZERO), ..good() }],
+            ),
+            is_refused: |error| matches!(error, ConfigError::NoTimeout { .. }),
+        },
+        CheckCase {
+            name: "no attempt",
+            config: config("a.example", vec![RouteRule { max_attempts: 0, ..good() }]),
+            is_refused: |error| matches!(error, ConfigError::NoAttempt { .. }),
+        },
         CheckCase {
             name: "no service",
             config: config("a.example", vec![rule("/a/", &[])]),
