--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -21,13 +21,11 @@
 const HOME_EXTRA: u32 = 1;
 /// Requests that this host sends at once to a target of another host's home.
 const FOREIGN_LIMIT: u32 = 1;
-/// Requests that this host sends at once to the holder of their keys.
-const HOLDER_LIMIT: u32 = 2;
+/// Requests that a target surely queues beyond its slots. What it cannot queue might never be
+/// answered.
+const SURE_QUEUE: u32 = 4;
 /// How long a holder that drains is sent requests for its keys, until they have moved.
 const DRAIN_USE: Duration = Duration::from_secs(1);
-/// The holder gets one request at a time once runs take this many times as long as usual: what it
-/// cannot queue might never be answered.
-const CROWDED_FACTOR: f64 = 2.0;
 
 /// Whether the holder of a key can take a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +46,8 @@
     host: HostName,
     zone: ZoneName,
     homes: HomeHosts,
+    /// Entry hosts of all zones.
+    host_count: u32,
     /// Sorted by target.
     lines: Vec<TargetLine>,
 }
@@ -55,7 +55,12 @@
 impl TargetPool {
     /// A pool without targets for the host `host` in `zone`.
     pub fn new(host: HostName, zone: ZoneName) -> Self {
-        Self { host, zone, homes: HomeHosts::default(), lines: Vec::new() }
+        Self { host, zone, homes: HomeHosts::default(), host_count: 1, lines: Vec::new() }
+    }
+
+    /// Follows the number of entry hosts of all zones.
+    pub fn set_host_count(&mut self, count: usize) {
+        self.host_count = u32::try_from(count).unwrap_or(u32::MAX);
     }
 
     /// Follows the announced targets and the live entry hosts of the zone. What was learnt of a run
@@ -148,10 +153,14 @@
         if line.is_paused(now) {
             return HolderPick::Paused;
         }
-        let typical = self.typical_run_time(now, &line.record.service);
-        let is_crowded = line.run_time(now).is_some_and(|time| time > typical * CROWDED_FACTOR);
-        let limit = if is_crowded { 1 } else { HOLDER_LIMIT };
-        if line.in_flight < limit { HolderPick::Open } else { HolderPick::Busy }
+        if line.in_flight < self.holder_limit(line) { HolderPick::Open } else { HolderPick::Busy }
+    }
+
+    /// Requests that this host sends at once to the holder of their keys. All hosts send to it, and
+    /// together they should not have more there than it runs and queues.
+    fn holder_limit(&self, line: &TargetLine) -> u32 {
+        let room = u32::from(line.record.work_slots) + SURE_QUEUE;
+        (room / self.host_count.max(1)).max(1)
     }
 
     /// Requests that this host may have in flight at the open targets of `service`.
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -179,6 +179,7 @@
                 self.host.follow_state();
             }
             self.host.host_count.set(head.entry_hosts.len());
+            self.host.pool.borrow_mut().set_host_count(head.entry_hosts.len());
             if !head.replicas.is_empty() {
                 self.dial(&head.replicas);
             }
