--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -15,9 +15,9 @@
 use crate::entry::entry_host::EntryHost;
 use crate::entry::own_answer::OwnAnswer;
 
-/// Share of the objective that a request may wait for room. The rest is needed for the run and for
-/// the way of the answer.
-const WAIT_SHARE: f64 = 0.75;
+/// How many times the time left until the objective a request may wait for room. A late answer still
+/// has a part of its value; the deadline bounds the wait as well.
+const WAIT_SHARE: f64 = 1.5;
 /// Longest wait for a key range that changes its holder. Most moves take a few milliseconds more
 /// than the longest run under way.
 const MOVE_WAIT: Duration = Duration::from_millis(250);
