--- a/crates/gw-balance/src/run_end.rs
+++ b/crates/gw-balance/src/run_end.rs
@@ -12,6 +12,8 @@
     },
     /// It refused without running the request.
     Refused,
+    /// Another target has its address: it has ended.
+    Replaced,
     /// The connection could not be made, broke, or carried something that is no answer.
     Broken,
     /// It did not answer in time.
--- a/crates/gw-balance/src/target_line.rs
+++ b/crates/gw-balance/src/target_line.rs
@@ -39,6 +39,8 @@
     /// Failures in a row.
     failures: u32,
     paused_until: Timestamp,
+    /// Whether another target has its address. This run never serves again.
+    has_ended: bool,
     last_end: Timestamp,
 }
 
@@ -54,6 +56,7 @@
             failure_share: 0.0,
             failures: 0,
             paused_until: Timestamp::ZERO,
+            has_ended: false,
             last_end: now,
         }
     }
@@ -70,7 +73,12 @@
 
     /// Whether requests may be sent to it.
     pub fn is_open(&self, now: Timestamp) -> bool {
-        self.record.phase == TargetPhase::Serving && !self.is_paused(now)
+        self.record.phase == TargetPhase::Serving && !self.has_ended && !self.is_paused(now)
+    }
+
+    /// Whether another target has its address.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
     }
 
     /// Whether it is left alone after failures.
@@ -102,6 +110,10 @@
     pub(crate) fn note_end(&mut self, now: Timestamp, end: RunEnd) {
         let is_failure = match end {
             RunEnd::Cancelled => return,
+            RunEnd::Replaced => {
+                self.has_ended = true;
+                return;
+            }
             RunEnd::Refused => {
                 self.paused_until = self.paused_until.max(now + REFUSAL_PAUSE);
                 return;
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -144,7 +144,7 @@
     /// Whether the holder of a key can take a request.
     pub fn pick_holder(&self, now: Timestamp, holder: &RangeHolder) -> HolderPick {
         let Some(line) = self.line(&holder.target) else { return HolderPick::Unknown };
-        if line.record.run != holder.run {
+        if line.record.run != holder.run || line.has_ended() {
             return HolderPick::Unknown;
         }
         if line.draining_since.is_some_and(|since| now.since(since) > DRAIN_USE) {
@@ -171,7 +171,9 @@
 
     /// Whether `service` has a target that takes new work, paused or not.
     pub fn has_targets(&self, service: &ServiceName) -> bool {
-        let is_serving = |line: &TargetLine| line.record.phase == gw_fleet::TargetPhase::Serving;
+        let is_serving = |line: &TargetLine| {
+            line.record.phase == gw_fleet::TargetPhase::Serving && !line.has_ended()
+        };
         self.of_service(service).any(is_serving)
     }
 
--- /dev/null
+++ b/crates/gw-balance/tests/target_pool.rs
@@ -0,0 +1,152 @@
+//! Which targets a host chooses, and which it leaves alone.
+
+use std::time::Duration;
+
+use gw_balance::HolderPick;
+use gw_balance::HomeHosts;
+use gw_balance::RunEnd;
+use gw_balance::TargetPool;
+use gw_fleet::TargetPhase;
+use gw_fleet::TargetRecord;
+use gw_types::HostName;
+use gw_types::ServiceName;
+use gw_types::TargetName;
+use gw_types::Timestamp;
+use gw_types::ZoneName;
+
+const NOW: Timestamp = Timestamp::from_millis(10_000);
+
+fn service() -> ServiceName {
+    ServiceName::new("slips").expect("a valid name")
+}
+
+fn host(name: &str) -> HostName {
+    HostName::new(name).expect("a valid name")
+}
+
+fn record(name: &str, zone: &str) -> TargetRecord {
+    TargetRecord {
+        name: TargetName::new(name).expect("a valid name"),
+        run: 1,
+        address: ([127, 0, 0, 1], 1).into(),
+        service: service(),
+        zone: ZoneName::new(zone).expect("a valid name"),
+        work_slots: 2,
+        phase: TargetPhase::Serving,
+    }
+}
+
+fn pool(own_host: &str, hosts: &[&str], records: &[TargetRecord]) -> TargetPool {
+    let zone = ZoneName::new("a").expect("a valid name");
+    let mut pool = TargetPool::new(host(own_host), zone);
+    let homes = HomeHosts::new(hosts.iter().map(|name| host(name)).collect());
+    pool.set_host_count(hosts.len());
+    pool.follow(NOW, records, &homes);
+    pool
+}
+
+fn answered(milliseconds: u64) -> RunEnd {
+    RunEnd::Answered { elapsed: Duration::from_millis(milliseconds), is_failure: false }
+}
+
+struct EndCase {
+    name: &'static str,
+    ends: Vec<RunEnd>,
+    /// Time since the last end.
+    after: Duration,
+    pick: HolderPick,
+}
+
+/// Guards against requests to a target that is gone, and against targets that stay avoided.
+#[test]
+fn holders_that_fail_are_left_alone_for_a_while() {
+    let second = Duration::from_secs(1);
+    let cases = [
+        EndCase { name: "no run", ends: vec![], after: second, pick: HolderPick::Open },
+        EndCase {
+            name: "one failure may be the request's fault",
+            ends: vec![RunEnd::Broken],
+            after: Duration::ZERO,
+            pick: HolderPick::Open,
+        },
+        EndCase {
+            name: "two failures in a row",
+            ends: vec![RunEnd::Broken, RunEnd::Unanswered],
+            after: Duration::from_millis(100),
+            pick: HolderPick::Paused,
+        },
+        EndCase {
+            name: "a pause ends",
+            ends: vec![RunEnd::Broken, RunEnd::Unanswered],
+            after: second,
+            pick: HolderPick::Open,
+        },
+        EndCase {
+            name: "the longest pause ends",
+            ends: vec![RunEnd::Broken; 20],
+            after: Duration::from_millis(2_100),
+            pick: HolderPick::Open,
+        },
+        EndCase {
+            name: "an answer ends the row",
+            ends: vec![RunEnd::Broken, answered(100), RunEnd::Broken],
+            after: Duration::ZERO,
+            pick: HolderPick::Open,
+        },
+        EndCase {
+            name: "callers that leave say nothing",
+            ends: vec![RunEnd::Cancelled; 20],
+            after: Duration::ZERO,
+            pick: HolderPick::Open,
+        },
+        EndCase {
+            name: "another target has the address, for good",
+            ends: vec![RunEnd::Replaced],
+            after: Duration::from_secs(60),
+            pick: HolderPick::Unknown,
+        },
+    ];
+    for case in cases {
+        let target = record("t1", "a");
+        let mut pool = pool("h1", &["h1"], std::slice::from_ref(&target));
+        for end in case.ends {
+            pool.note_start(&target.holder());
+            pool.note_end(NOW, &target.holder(), end);
+        }
+        assert_eq!(
+            pool.pick_holder(NOW + case.after, &target.holder()),
+            case.pick,
+            "{}",
+            case.name
+        );
+    }
+}
+
+/// Guards against hosts of a zone that crowd one target while others are idle.
+#[test]
+fn hosts_of_a_zone_choose_different_targets() {
+    let records = [record("t1", "a"), record("t2", "a"), record("t3", "a"), record("t4", "b")];
+    let chosen = ["h1", "h2", "h3"].map(|name| {
+        let pool = pool(name, &["h1", "h2", "h3"], &records);
+        pool.pick(NOW, &service(), &[]).map(|line| line.record.name.clone())
+    });
+    let mut names: Vec<_> = chosen.into_iter().flatten().collect();
+    names.sort();
+    names.dedup();
+    assert_eq!(names.len(), 3);
+}
+
+/// Guards against a full home target that holds back requests which others have room for.
+#[test]
+fn requests_overflow_to_other_targets_and_zones() {
+    let records = [record("t1", "a"), record("t2", "a"), record("t3", "b")];
+    let mut pool = pool("h1", &["h1", "h2"], &records);
+    let mut counts = [0_u32; 3];
+    while let Some(line) = pool.pick(NOW, &service(), &[]) {
+        let holder = line.record.holder();
+        let index = records.iter().position(|record| record.holder() == holder);
+        counts[index.expect("a known target")] += 1;
+        pool.note_start(&holder);
+    }
+    assert_eq!(counts, [3, 1, 1]);
+}
--- a/crates/gw-gateway/src/entry/request_flow.rs
+++ b/crates/gw-gateway/src/entry/request_flow.rs
@@ -386,7 +386,8 @@
     let status = reply.head.status;
     if said.is_refusal && (said.request_id.is_none() || is_own) {
         log_failure(request, &ticket, "refused", status.as_str());
-        ticket.finish(RunEnd::Refused);
+        let is_other = said.other_target.as_ref().is_some_and(|name| *name != ticket.holder.target);
+        ticket.finish(if is_other { RunEnd::Replaced } else { RunEnd::Refused });
         let reason = if said.is_misdirected { "target_misdirected" } else { "target_full" };
         return AttemptEnd::NotRun { reason, reached: true, misdirected: said.is_misdirected };
     }
--- a/crates/gw-gateway/src/ports/target_answer.rs
+++ b/crates/gw-gateway/src/ports/target_answer.rs
@@ -1,3 +1,4 @@
+use gw_types::TargetName;
 use http::HeaderValue;
 
 /// What a target's answer says beside status and body.
@@ -10,4 +11,6 @@
     /// Whether the refusal means that this is another target, or one that does not hold the key:
     /// the sender's view is out of date.
     pub is_misdirected: bool,
+    /// The target that says that it was not the one that was meant, if it names itself.
+    pub other_target: Option<TargetName>,
 }
