fix(gw-ranges): handover tokens reach the next holder; silent holders lose their keys

Ruled out: waits on the entry host (p90 184 ms of 784 ms). Second cause, found by the same tests: a holder that takes connections and never answers got new fencing tokens for ever and kept its keys.

--- a/crates/gw-gateway/src/control/range_keeper.rs
+++ b/crates/gw-gateway/src/control/range_keeper.rs
@@ -44,8 +44,8 @@
     pub(crate) fn note_heat(&mut self, now: Timestamp, heat: &ServiceHeat) {
         let found = self.services.iter_mut().find(|kept| *kept.granter.service() == heat.service);
         let Some(kept) = found else { return };
-        kept.heat.decay(now);
-        heat.counts.iter().for_each(|&(bucket, count)| kept.heat.add(bucket, count));
+        kept.heat.advance(now);
+        heat.counts.iter().for_each(|&(key, count)| kept.heat.add(key, count));
     }
 
     /// What is due for all services.
@@ -65,7 +65,7 @@
             let service = kept.granter.service().clone();
             let table = state.table(&service).unwrap_or(&unassigned);
             let candidates = watch.candidates(now, state, &service);
-            kept.heat.decay(now);
+            kept.heat.advance(now);
             for action in kept.granter.step(now, table, &candidates, &kept.heat) {
                 match action {
                     GranterAction::Order(order) => orders.push(order),
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -293,10 +293,10 @@
 
     fn take_heat(&self) -> Vec<ServiceHeat> {
         let mut reports: Vec<ServiceHeat> = Vec::new();
-        for ((service, bucket), count) in std::mem::take(&mut *self.host.heat.borrow_mut()) {
+        for ((service, key), count) in std::mem::take(&mut *self.host.heat.borrow_mut()) {
             match reports.last_mut().filter(|report| report.service == service) {
-                Some(report) => report.counts.push((bucket, count)),
-                None => reports.push(ServiceHeat { service, counts: vec![(bucket, count)] }),
+                Some(report) => report.counts.push((key, count)),
+                None => reports.push(ServiceHeat { service, counts: vec![(key, count)] }),
             }
         }
         reports
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -15,7 +15,6 @@
 use gw_dispatch::RetryBudget;
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetState;
-use gw_ranges::HeatMap;
 use gw_ranges::RangeHolder;
 use gw_routing::RouteRule;
 use gw_routing::RoutingConfig;
@@ -64,7 +63,7 @@
     pub(crate) in_flight: RefCell<Vec<(RangeHolder, RequestFingerprint)>>,
     /// When the move of a key range was learnt, by service and first key.
     pub(crate) moves: RefCell<BTreeMap<(ServiceName, u16), Timestamp>>,
-    /// Requests by service and bucket of keys since the last report.
+    /// Requests by service and key since the last report.
     pub(crate) heat: RefCell<BTreeMap<(ServiceName, u16), u32>>,
     pub(crate) homes: RefCell<HomeHosts>,
     /// Entry hosts of all zones that control hosts know.
@@ -207,8 +206,7 @@
         let now = self.now();
         self.with_budget(service, |budget| budget.record_request(now));
         if let Some(key) = key {
-            let bucket = (service.clone(), HeatMap::bucket_of(key));
-            *self.heat.borrow_mut().entry(bucket).or_default() += 1;
+            *self.heat.borrow_mut().entry((service.clone(), key)).or_default() += 1;
         }
     }
 
--- a/crates/gw-gateway/src/entry/request_flow.rs
+++ b/crates/gw-gateway/src/entry/request_flow.rs
@@ -55,6 +55,7 @@
 /// A request as it was read.
 struct ReadRequest {
     number: u64,
+    started: Instant,
     head: request::Parts,
     body: Bytes,
     facts: CallerFacts,
@@ -158,7 +159,7 @@
         deadline: started + longest.saturating_sub(RETURN_TIME),
     };
     let patience_ends = started + patience;
-    Ok(ReadRequest { number, head, body, facts, rule, plan, fingerprint, patience_ends })
+    Ok(ReadRequest { number, started, head, body, facts, rule, plan, fingerprint, patience_ends })
 }
 
 /// A host that may have missed a configuration cannot say that a route does not exist.
@@ -400,7 +401,19 @@
     }
     let is_failure = status.is_server_error();
     host.quarantine.borrow_mut().record_completion(request.fingerprint);
-    log::debug!("event=answered id={} target={}", request_id(request), ticket.holder);
+    log::info!(
+        "event=answered id={} number={} service={} target={} key={} status={} waited_ms={} \
+         ran_ms={} state={}",
+        request_id(request),
+        request.number,
+        request.plan.service,
+        ticket.holder,
+        request.plan.key.map_or(-1, i32::from),
+        status.as_u16(),
+        request.started.elapsed().saturating_sub(reply.elapsed).as_millis(),
+        reply.elapsed.as_millis(),
+        host.applied.get(),
+    );
     ticket.finish(RunEnd::Answered { elapsed: reply.elapsed, is_failure });
     AttemptEnd::Answer(relay(reply))
 }
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -51,11 +51,11 @@
     Failed(CallFailure),
 }
 
-/// Requests by bucket of keys since the last report.
+/// Requests by key since the last report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct ServiceHeat {
     pub(crate) service: ServiceName,
-    /// Bucket and count.
+    /// Key and count.
     pub(crate) counts: Vec<(u16, u32)>,
 }
 
--- a/crates/gw-ranges/src/heat_map.rs
+++ b/crates/gw-ranges/src/heat_map.rs
@@ -4,89 +4,105 @@
 
 use crate::KeyRange;
 
-/// Keys of one bucket.
-const BUCKET_KEYS: u32 = 16;
-/// Number of buckets.
-const BUCKET_COUNT: usize = 4096;
+/// Keys of one block; sums are kept for blocks, so that large ranges are added up quickly.
+const BLOCK_KEYS: usize = 256;
+/// Number of keys.
+const KEY_COUNT: usize = 65_536;
 /// Time in which the weight of old requests halves. Busy keys change within seconds.
 const HALF_LIFE: Duration = Duration::from_secs(2);
-/// Heat of a bucket without requests, so that idle keys are spread by number.
-const BASE_HEAT: f64 = 0.0025;
+/// Heat of a key without requests, so that idle keys are spread by number. All idle keys together
+/// weigh as much as a few requests.
+const BASE_HEAT: f64 = 10.0 / KEY_COUNT as f64;
+/// Weight of new requests at which all numbers are scaled back, to keep their precision.
+const RESCALE_WEIGHT: f64 = 1e6;
 
-/// Recent requests of a service by key, in buckets of neighbouring keys.
+/// Recent requests of a service by key.
+///
+/// Instead of all old numbers being lowered again and again, newer requests count more. Invariant:
+/// each block's sum is that of its keys, up to rounding.
 #[derive(Clone, Debug)]
 pub struct HeatMap {
-    buckets: Vec<f32>,
-    decayed: Timestamp,
+    keys: Vec<f32>,
+    blocks: Vec<f32>,
+    /// When a request has the weight 1.
+    origin: Timestamp,
+    /// The time for which heat is asked.
+    now: Timestamp,
 }
 
 impl HeatMap {
     /// A map without requests.
     pub fn new(now: Timestamp) -> Self {
-        Self { buckets: vec![0.0; BUCKET_COUNT], decayed: now }
+        let (keys, blocks) = (vec![0.0; KEY_COUNT], vec![0.0; KEY_COUNT / BLOCK_KEYS]);
+        Self { keys, blocks, origin: now, now }
     }
 
-    /// The bucket of `key`.
-    pub fn bucket_of(key: u16) -> u16 {
-        (u32::from(key) / BUCKET_KEYS) as u16
+    fn weight(&self) -> f64 {
+        let age = self.now.since(self.origin).as_secs_f64();
+        (age / HALF_LIFE.as_secs_f64()).exp2()
     }
 
-    /// The keys of `bucket`.
-    pub fn keys_of(bucket: u16) -> KeyRange {
-        let first = u32::from(bucket) * BUCKET_KEYS;
-        KeyRange { first: first as u16, last: (first + BUCKET_KEYS - 1) as u16 }
-    }
-
-    /// Adds `count` requests for keys of `bucket`.
-    pub fn add(&mut self, bucket: u16, count: u32) {
-        if let Some(heat) = self.buckets.get_mut(usize::from(bucket)) {
-            *heat += count as f32;
+    /// Lets time pass.
+    pub fn advance(&mut self, now: Timestamp) {
+        self.now = now;
+        let weight = self.weight();
+        if weight > RESCALE_WEIGHT {
+            let factor = (1.0 / weight) as f32;
+            self.keys.iter_mut().chain(&mut self.blocks).for_each(|heat| *heat *= factor);
+            self.origin = now;
         }
     }
 
-    /// Lets old requests lose weight.
-    pub fn decay(&mut self, now: Timestamp) {
-        let elapsed = now.since(self.decayed);
-        self.decayed = now;
-        let factor = 0.5_f32.powf(elapsed.as_secs_f32() / HALF_LIFE.as_secs_f32());
-        self.buckets.iter_mut().for_each(|heat| *heat *= factor);
+    /// Adds `count` requests for `key`.
+    pub fn add(&mut self, key: u16, count: u32) {
+        let heat = (f64::from(count) * self.weight()) as f32;
+        self.keys[usize::from(key)] += heat;
+        self.blocks[usize::from(key) / BLOCK_KEYS] += heat;
     }
 
-    /// Heat of the keys of `range`. Above 0. Within a bucket, heat is taken as even.
+    /// Heat of the keys of `range`: their recent requests. Above 0.
     pub fn heat_of(&self, range: KeyRange) -> f64 {
-        let buckets = Self::bucket_of(range.first)..=Self::bucket_of(range.last);
-        buckets.map(|bucket| self.part_heat(bucket, range)).sum()
+        let (mut key, end) = (usize::from(range.first), usize::from(range.last) + 1);
+        let mut sum = 0.0;
+        while key < end {
+            let is_whole = key.is_multiple_of(BLOCK_KEYS) && key + BLOCK_KEYS <= end;
+            let (heat, step) = match is_whole {
+                true => (self.blocks[key / BLOCK_KEYS], BLOCK_KEYS),
+                false => (self.keys[key], 1),
+            };
+            sum += f64::from(heat.max(0.0));
+            key += step;
+        }
+        sum / self.weight() + f64::from(range.key_count()) * BASE_HEAT
     }
 
-    fn part_heat(&self, bucket: u16, range: KeyRange) -> f64 {
-        let keys = Self::keys_of(bucket);
-        let first = keys.first.max(range.first);
-        let last = keys.last.min(range.last);
-        let part = f64::from(KeyRange { first, last }.key_count()) / f64::from(BUCKET_KEYS);
-        part * (BASE_HEAT + f64::from(self.buckets[usize::from(bucket)]))
+    /// The longest part at the start of `range` with at most the heat `limit`; `None` if already
+    /// the first key has more.
+    pub fn start_within(&self, range: KeyRange, limit: f64) -> Option<KeyRange> {
+        let mut sum = 0.0;
+        let mut last = None;
+        for key in range.first..=range.last {
+            sum += self.heat_of(KeyRange { first: key, last: key });
+            if sum > limit {
+                break;
+            }
+            last = Some(key);
+        }
+        last.map(|last| KeyRange { first: range.first, last })
     }
 
-    /// The last key of the part at the start of `range` whose heat is closest to `wanted` without
-    /// ending inside a bucket, unless the range lies within one bucket.
-    pub fn cut(&self, range: KeyRange, wanted: f64) -> u16 {
-        let first = Self::bucket_of(range.first);
-        let last = Self::bucket_of(range.last);
-        if first == last {
-            let share = (wanted / self.heat_of(range)).clamp(0.0, 1.0);
-            let keys = (f64::from(range.key_count()) * share).round().max(1.0) as u32;
-            return (u32::from(range.first) + keys - 1).min(u32::from(range.last)) as u16;
-        }
+    /// The longest part at the end of `range` with at most the heat `limit`; `None` if already the
+    /// last key has more.
+    pub fn end_within(&self, range: KeyRange, limit: f64) -> Option<KeyRange> {
         let mut sum = 0.0;
-        for bucket in first..last {
-            let heat = self.part_heat(bucket, range);
-            if sum + heat / 2.0 >= wanted && bucket > first {
-                return Self::keys_of(bucket - 1).last;
-            }
-            sum += heat;
-            if sum >= wanted {
-                return Self::keys_of(bucket).last;
+        let mut first = None;
+        for key in (range.first..=range.last).rev() {
+            sum += self.heat_of(KeyRange { first: key, last: key });
+            if sum > limit {
+                break;
             }
+            first = Some(key);
         }
-        Self::keys_of(last - 1).last
+        first.map(|first| KeyRange { first, last: range.last })
     }
 }
--- a/crates/gw-ranges/src/range_granter.rs
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -22,9 +22,21 @@
 
 /// Time after which a proposal that had no effect is made again.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time until a silent holder is tried again under a new fencing token. Longer than it takes to
+/// plan and to commit.
+const SILENT_RETRY: Duration = Duration::from_millis(1_200);
 /// Orders in a row that must fail before a silent holder is given up.
 const GIVE_UP_FAILURES: u32 = 3;
 
+/// The handover token of a range, until its next holder has it.
+#[derive(Clone, Debug)]
+struct KeptHandover {
+    range: KeyRange,
+    /// The fencing token of the holder that gave it.
+    fence: u64,
+    token: Arc<str>,
+}
+
 /// What the leader has to do for a granter.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GranterAction {
@@ -48,8 +60,8 @@
     options: GranterOptions,
     /// Sorted by range; follows the table.
     leases: Vec<RangeLease>,
-    /// Handover tokens of ranges that were assigned and not granted yet.
-    handovers: Vec<(KeyRange, Arc<str>)>,
+    /// Handover tokens of ranges that were released and not granted again yet.
+    handovers: Vec<KeptHandover>,
     next_number: u64,
     next_plan: Timestamp,
     /// Whether the table was not looked at yet.
@@ -95,6 +107,9 @@
         for index in 0..self.leases.len() {
             self.step_lease(now, index, table, candidates, &mut actions);
         }
+        if now >= self.next_plan {
+            self.mark_neighbours(now);
+        }
         self.renew_fences(now, &mut actions);
         if now >= self.next_plan {
             self.next_plan = now + self.options.plan_interval;
@@ -115,12 +130,13 @@
                     && lease.holder == *holder
                     && lease.fence == held.fence
             });
-            // Doubts about earlier grants to the same holder outlive their fencing token.
-            let doubt = old
+            // Doubts about earlier grants to the same holder, and its silence, outlive their
+            // fencing token.
+            let earlier = old
                 .iter()
-                .filter(|lease| lease.range.overlaps(held.range) && lease.holder == *holder)
-                .map(|lease| lease.unanswered_until)
-                .max();
+                .filter(|lease| lease.range.overlaps(held.range) && lease.holder == *holder);
+            let doubt = earlier.clone().map(|lease| lease.unanswered_until).max();
+            let failures = earlier.map(|lease| lease.failures).max().unwrap_or(0);
             let mut lease = same.clone().next().cloned().unwrap_or_else(|| RangeLease {
                 range: held.range,
                 holder: holder.clone(),
@@ -129,7 +145,7 @@
                 unanswered_until: if is_fresh { now + longest_hold } else { doubt.unwrap_or(now) },
                 next_order: now,
                 order: None,
-                failures: 0,
+                failures,
                 is_granted: false,
                 needs_fence: is_fresh && held.successor.is_none(),
                 stage: MoveStage::Held,
@@ -163,14 +179,18 @@
                 _ => {}
             }
             if !lease.is_granted && lease.handover.is_none() {
-                let token = self.handovers.iter().find(|(range, _)| range.covers(lease.range));
-                lease.handover = token.map(|(_, token)| token.clone());
+                let kept = self
+                    .handovers
+                    .iter()
+                    .find(|kept| kept.range.covers(lease.range) && kept.fence < lease.fence);
+                lease.handover = kept.map(|kept| kept.token.clone());
             }
             self.leases.push(lease);
         }
         let leases = &self.leases;
-        self.handovers.retain(|(range, _)| {
-            leases.iter().any(|lease| range.overlaps(lease.range) && !lease.is_granted)
+        self.handovers.retain(|kept| {
+            let mut over = leases.iter().filter(|lease| kept.range.overlaps(lease.range));
+            over.any(|lease| lease.fence <= kept.fence || !lease.is_granted)
         });
     }
 
@@ -232,6 +252,23 @@
         }));
     }
 
+    /// Marks neighbouring ranges of one holder for a common fencing token, which makes them one
+    /// range with one renewal.
+    fn mark_neighbours(&mut self, now: Timestamp) {
+        let is_calm = |lease: &RangeLease| {
+            lease.stage == MoveStage::Held && lease.is_granted && lease.proposed.is_none()
+        };
+        for index in 1..self.leases.len() {
+            let (lower, upper) = (&self.leases[index - 1], &self.leases[index]);
+            if lower.holder == upper.holder && is_calm(lower) && is_calm(upper) {
+                for lease in &mut self.leases[index - 1..=index] {
+                    lease.needs_fence = true;
+                    lease.next_order = now;
+                }
+            }
+        }
+    }
+
     /// Proposes new fencing tokens for the holders whose tokens must not be used again. One command
     /// gives one token to all, so that neighbours of one holder become one range.
     fn renew_fences(&mut self, now: Timestamp, actions: &mut Vec<GranterAction>) {
@@ -240,6 +277,7 @@
                 && lease.stage == MoveStage::Held
                 && lease.proposed.is_none()
                 && lease.order.is_none()
+                && now >= lease.next_order
         });
         let moves: Vec<_> = due
             .map(|lease| {
@@ -269,7 +307,9 @@
             return;
         };
         if let Some(token) = handover {
-            self.handovers.push((lease.range, token.clone()));
+            let (range, fence, token) = (lease.range, lease.fence, token.clone());
+            self.handovers.retain(|kept| !range.overlaps(kept.range));
+            self.handovers.push(KeptHandover { range, fence, token });
         }
         lease.proposed = Some(now);
         let moves = vec![RangeTransfer { range: lease.range, to, fence: lease.fence }];
@@ -317,6 +357,9 @@
                     lease.held_until = lease.held_until.max(now + longest_hold);
                     lease.unanswered_until = lease.unanswered_until.max(now + longest_hold);
                     lease.needs_fence = true;
+                    // A holder that stays silent is planned away before it is tried again.
+                    let is_silent = lease.failures >= GIVE_UP_FAILURES;
+                    lease.next_order = if is_silent { now + SILENT_RETRY } else { now };
                 }
                 OrderOutcome::Refused if is_grant => lease.needs_fence = true,
                 _ => lease.next_order = now + retry,
--- a/crates/gw-ranges/src/range_plan.rs
+++ b/crates/gw-ranges/src/range_plan.rs
@@ -10,9 +10,11 @@
 const RELIEF_FACTOR: f64 = 1.2;
 /// Ranges of one target beyond which no further ones are cut off for balance. Each range costs a
 /// call for each renewal.
-const RANGES_PER_TARGET: usize = 6;
+const RANGES_PER_TARGET: usize = 10;
 /// Ranges that move at the same time for balance.
 const MOVES_AT_ONCE: usize = 6;
+/// How much more than the wanted heat a whole range may have, to spare a cut.
+const OVERSHOOT: f64 = 1.2;
 /// Smallest part of the average load that is worth a move.
 const LEAST_GAIN: f64 = 0.1;
 
@@ -91,12 +93,16 @@
         let room = (average - target.load) * target.candidate.speed;
         let total = heat.heat_of(range);
         // A small remainder is not worth a range of its own.
-        let last = if total <= room * 1.2 { range.last } else { heat.cut(range, room.max(0.0)) };
-        let part = KeyRange { first: range.first, last };
+        let part = match heat.start_within(range, room) {
+            Some(part) if total > room * 1.2 => part,
+            None if total > room * 1.2 => KeyRange { first: range.first, last: range.first },
+            _ => range,
+        };
         target.load += heat.heat_of(part) / target.candidate.speed;
         let to = target.candidate.holder.clone();
         moves.push(RangeTransfer { range: part, to, fence: held.fence });
-        rest = (last < range.last).then(|| KeyRange { first: last + 1, last: range.last });
+        rest =
+            (part.last < range.last).then(|| KeyRange { first: part.last + 1, last: range.last });
     }
 }
 
@@ -118,33 +124,47 @@
         return;
     }
     let giver = &loads[most.0].candidate.holder;
-    let ranges_of = |index: usize| {
-        let holder = &loads[index].candidate.holder;
-        table.assignments().iter().filter(|held| held.holder.as_ref() == Some(holder)).count()
-    };
+    let own = || table.assignments().iter().filter(|held| held.holder.as_ref() == Some(giver));
+    let may_split = own().count() < RANGES_PER_TARGET;
     let is_taken = |range: KeyRange| moves.iter().any(|taken| taken.range.overlaps(range));
-    let own = table.assignments().iter().filter(|held| held.holder.as_ref() == Some(giver));
-    let hottest = own
+    let mut movable: Vec<(&RangeAssignment, f64)> = own()
         .filter(|held| held.successor.is_none() && may_move(held) && !is_taken(held.range))
-        .max_by(|a, b| heat.heat_of(a.range).total_cmp(&heat.heat_of(b.range)));
-    let Some(held) = hottest else { return };
+        .map(|held| (held, heat.heat_of(held.range)))
+        .collect();
+    movable.sort_by(|a, b| b.1.total_cmp(&a.1));
     let (giver_speed, taker_speed) =
         (loads[most.0].candidate.speed, loads[least.0].candidate.speed);
     // The amount after which both have the same load.
     let wanted = (most.1 - least.1) * giver_speed * taker_speed / (giver_speed + taker_speed);
-    let total = heat.heat_of(held.range);
-    let last = if total <= wanted { held.range.last } else { heat.cut(held.range, wanted) };
-    let part = KeyRange { first: held.range.first, last };
-    let moved = heat.heat_of(part);
-    let is_split = last < held.range.last;
-    if moved < average * LEAST_GAIN
-        || moved > wanted * 1.6
-        || (is_split && ranges_of(most.0) >= RANGES_PER_TARGET)
-    {
+    let parts = movable.iter().filter_map(|(held, total)| {
+        let part = part_of(held.range, *total, wanted, heat, may_split)?;
+        Some((held.fence, part, heat.heat_of(part)))
+    });
+    let best = parts.max_by(|a, b| a.2.total_cmp(&b.2));
+    let Some((fence, part, moved)) = best.filter(|best| best.2 >= average * LEAST_GAIN) else {
         return;
-    }
+    };
     loads[most.0].load -= moved / giver_speed;
     loads[least.0].load += moved / taker_speed;
     let to = loads[least.0].candidate.holder.clone();
-    moves.push(RangeTransfer { range: part, to, fence: held.fence });
+    moves.push(RangeTransfer { range: part, to, fence });
+}
+
+/// The part of `range` whose heat comes closest to `wanted`. A single key with more than that stays
+/// where it is: its neighbours go, from whichever side has more.
+fn part_of(
+    range: KeyRange,
+    total: f64,
+    wanted: f64,
+    heat: &HeatMap,
+    may_split: bool,
+) -> Option<KeyRange> {
+    if total <= wanted * OVERSHOOT {
+        return Some(range);
+    }
+    if !may_split {
+        return None;
+    }
+    let sides = [heat.start_within(range, wanted), heat.end_within(range, wanted)];
+    sides.into_iter().flatten().max_by(|a, b| heat.heat_of(*a).total_cmp(&heat.heat_of(*b)))
 }
--- a/crates/gw-ranges/tests/range_schedules.rs
+++ b/crates/gw-ranges/tests/range_schedules.rs
@@ -164,7 +164,7 @@
     }
 
     fn change_world(&mut self, case: &ScheduleCase) {
-        self.heat.decay(self.now);
+        self.heat.advance(self.now);
         let hot = self.random.below(64) as u16;
         self.heat.add(1000 + hot, 3);
         if self.random.chance(2) {
