fix(gw-gateway): a lost replica makes room for its successor; a new one is not taken for lost

The replica that joined had never been heard, was taken for lost and removed again and again, while the lost one stayed a voter; the second replacement left 2 of 4 voters.

--- a/crates/gw-fleet/src/lib.rs
+++ b/crates/gw-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod departed_target;
 mod fleet_command;
 mod fleet_state;
+mod replica_plan;
 mod replica_record;
 mod stored_config;
 mod target_record;
@@ -19,6 +20,8 @@
 pub use fleet_command::FleetOutcome;
 pub use fleet_state::FleetState;
 pub use fleet_state::SnapshotError;
+pub use replica_plan::ReplicaView;
+pub use replica_plan::lost_replica;
 pub use replica_record::ReplicaRecord;
 pub use stored_config::StoredConfig;
 pub use target_record::TargetPhase;
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -108,6 +108,8 @@
     pub(crate) heard: RefCell<BTreeSet<TargetName>>,
     pub(crate) ranges: RefCell<RangeKeeper>,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
+    /// When this leader noticed each other replica first.
+    pub(crate) noticed: RefCell<BTreeMap<HostId, Timestamp>>,
     /// Calls to other hosts that wait for an answer.
     pub(crate) calls: RefCell<BTreeMap<CallId, oneshot::Sender<CallResult>>>,
     pub(crate) is_stopping: Cell<bool>,
@@ -139,6 +141,7 @@
             heard: RefCell::default(),
             ranges: RefCell::new(RangeKeeper::new(settings.longest_hold)),
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE)),
+            noticed: RefCell::default(),
             calls: RefCell::default(),
             is_stopping: Cell::new(false),
             restart_at: Cell::new(Timestamp::ZERO),
@@ -348,6 +351,7 @@
         log::info!("event={event} term={term}");
         self.ranges.borrow_mut().restart();
         self.watch.borrow_mut().restart(self.now());
+        self.noticed.borrow_mut().clear();
         if !is_leader {
             self.fail_waiting(CallFailure::NotLeader);
         }
--- a/crates/gw-gateway/src/control/group_keeper.rs
+++ b/crates/gw-gateway/src/control/group_keeper.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use gw_agreement::MembershipChange;
 use gw_fleet::FleetCommand;
 use gw_fleet::ReplicaRecord;
+use gw_fleet::ReplicaView;
+use gw_fleet::lost_replica;
 use gw_types::HostId;
 
 use crate::control::control_host::Asker;
@@ -13,11 +14,6 @@
 use crate::link::LinkHandle;
 use crate::link::LinkMessage;
 
-/// Silence after which a replica is removed, if enough others remain.
-const LOST_TIME: Duration = Duration::from_secs(12);
-/// Replicas that remain at least when a silent one is removed.
-const LEAST_REPLICAS: usize = 3;
-
 impl ControlHost {
     /// Finds out who this replica is: a first member, a member that restarts, or a new one.
     pub(crate) fn identify(&self) -> std::io::Result<()> {
@@ -102,6 +98,11 @@
             self.command(FleetCommand::RemoveReplica { id: old.id });
             return;
         }
+        if let Some(id) = lost_replica(&self.replica_views(), true) {
+            log::warn!("event=replica_replaced id={} by={peers}", id.0);
+            self.command(FleetCommand::RemoveReplica { id });
+            return;
+        }
         log::info!("event=replica_joins folder={folder:x} peers={peers}");
         self.command(FleetCommand::AddReplica { folder, peers, calls });
     }
@@ -148,7 +149,6 @@
             return;
         }
         let now = self.now();
-        let mut lost = None;
         if let Some(replica) = self.replica.borrow_mut().as_mut() {
             let members = replica.node.membership().clone();
             let is_known = |id: HostId| state_replicas.iter().any(|known| known.id == id);
@@ -163,24 +163,33 @@
                     Err(error) => log::debug!("event=members_wait cause=\"{error}\""),
                 }
             }
-            let leads_for =
-                replica.node.leader_since().map_or(Duration::ZERO, |since| now.since(since));
-            if change.is_none() && leads_for > LOST_TIME && state_replicas.len() > LEAST_REPLICAS {
-                let status = replica.node.member_status();
-                let silent = status.iter().find(|member| {
-                    member.host != replica.node.id()
-                        && member.last_contact.is_none_or(|at| now.since(at) > LOST_TIME)
-                });
-                lost = silent.map(|member| member.host);
-            }
         }
-        if let Some(id) = lost {
+        if let Some(id) = lost_replica(&self.replica_views(), false) {
             log::warn!("event=replica_lost id={}", id.0);
             self.command(FleetCommand::RemoveReplica { id });
         }
         self.drive();
     }
 
+    /// The other replicas as this leader sees them.
+    fn replica_views(&self) -> Vec<ReplicaView> {
+        let now = self.now();
+        let replica = self.replica.borrow();
+        let Some(replica) = replica.as_ref() else { return Vec::new() };
+        let status = replica.node.member_status();
+        let mut noticed = self.noticed.borrow_mut();
+        noticed.retain(|id, _| status.iter().any(|member| member.host == *id));
+        let others = status.iter().filter(|member| member.host != replica.node.id());
+        others
+            .map(|member| {
+                // A member that was never heard counts from when it became one.
+                let noticed = *noticed.entry(member.host).or_insert(now);
+                let heard = member.last_contact.map_or(noticed, |at| at.max(noticed));
+                ReplicaView { id: member.host, silence: now.since(heard) }
+            })
+            .collect()
+    }
+
     fn record_first_members(&self) {
         let Some(identity) = self.identity.borrow().clone() else { return };
         let port = self.calls_address.port();
