perf(gw-gateway): heads and reports between hosts say only what is new

Cause: on the grown deployment each control host told each of 82 entry hosts the names of all of them four times a second, and each entry host reported all 354 run times to the leader.

--- a/crates/gw-balance/src/target_line.rs
+++ b/crates/gw-balance/src/target_line.rs
@@ -66,6 +66,11 @@
         self.run_time.filter(|_| now.since(self.last_end) < AVERAGE_AGE || self.in_flight > 0)
     }
 
+    /// When a run ended last, or when the target was learnt.
+    pub fn last_end(&self) -> Timestamp {
+        self.last_end
+    }
+
     /// Failures in a row.
     pub fn failures(&self) -> u32 {
         self.failures
--- a/crates/gw-gateway/src/control/link_keeper.rs
+++ b/crates/gw-gateway/src/control/link_keeper.rs
@@ -12,6 +12,7 @@
 use crate::control::control_host::Asker;
 use crate::control::control_host::ControlHost;
 use crate::link::EntryReport;
+use crate::link::HeadDetails;
 use crate::link::HeadMessage;
 use crate::link::HostKind;
 use crate::link::LinkEvent;
@@ -33,6 +34,8 @@
     pub(crate) sent_through: u64,
     /// The other side's clock, and when it was told.
     pub(crate) clock: Option<(u64, Timestamp)>,
+    /// What the other side was told last.
+    pub(crate) told: Option<HeadDetails>,
 }
 
 impl PeerLink {
@@ -101,6 +104,7 @@
                     is_streaming: false,
                     sent_through: 0,
                     clock: None,
+                    told: None,
                 });
             }
             LinkEvent::Closed { id } => {
@@ -117,7 +121,7 @@
                 log::info!("event=host_connected host={name} zone={zone} kind={kind:?}");
                 with_link(host, &link, |known| known.hello = Some((name, zone, kind)));
                 if kind == HostKind::Entry {
-                    link.send(&LinkMessage::Head(head_message(host)));
+                    send_heads(host, |known| known.link.id == link.id);
                 }
             }
             LinkMessage::Agreement { from, to, message } => {
@@ -188,24 +192,53 @@
     report.crashes.iter().for_each(|entry| quarantine.merge(now, entry));
 }
 
-/// What entry hosts are told regularly.
-pub(crate) fn head_message(host: &ControlHost) -> HeadMessage {
+/// Tells the entry hosts for which `is_meant` holds how far this host is.
+pub(crate) fn send_heads(host: &ControlHost, is_meant: impl Fn(&PeerLink) -> bool) {
     let now = host.now();
-    let links = host.links.borrow();
-    let mut entry_hosts: Vec<(HostName, ZoneName)> = links
-        .iter()
-        .filter(|link| link.is_entry())
-        .filter_map(|link| link.hello.as_ref().map(|(name, zone, _)| (name.clone(), zone.clone())))
-        .collect();
-    entry_hosts.sort();
-    entry_hosts.dedup();
+    let (is_current, is_leader) = (host.is_current(), host.leads());
     let log = host.log.borrow();
-    HeadMessage {
-        index: log.applied(),
-        is_current: host.is_current(),
-        is_leader: host.leads(),
-        replicas: log.state().replicas().to_vec(),
-        entry_hosts,
-        crashes: host.quarantine.borrow().entries(now),
+    let replicas = log.state().replicas();
+    let crashes = host.quarantine.borrow().entries(now);
+    let mut links = host.links.borrow_mut();
+    let entry_hosts = connected_entry_hosts(&links);
+    for link in links.iter_mut().filter(|link| link.is_entry() && is_meant(link)) {
+        let zone = link.hello.as_ref().map(|(_, zone, _)| zone.clone());
+        let near = entry_hosts.iter().filter(|(_, other)| Some(other) == zone.as_ref());
+        let details = HeadDetails {
+            replicas: replicas.to_vec(),
+            zone_hosts: near.map(|(name, _)| name.clone()).collect(),
+            crashes: crashes.clone(),
+        };
+        let is_new = link.told.as_ref().is_none_or(|told| !says_the_same(told, &details));
+        let head = HeadMessage {
+            index: log.applied(),
+            is_current,
+            is_leader,
+            host_count: u32::try_from(entry_hosts.len()).unwrap_or(u32::MAX),
+            details: is_new.then(|| details.clone()),
+        };
+        if link.link.send(&LinkMessage::Head(head)) && is_new {
+            link.told = Some(details);
+        }
     }
 }
+
+/// Whether the receiver of `told` learns nothing from `details`. Ages of crashes do not count.
+fn says_the_same(told: &HeadDetails, details: &HeadDetails) -> bool {
+    let crashes = |details: &HeadDetails| -> Vec<_> {
+        details.crashes.iter().map(|entry| (entry.fingerprint, entry.evidence.clone())).collect()
+    };
+    told.replicas == details.replicas
+        && told.zone_hosts == details.zone_hosts
+        && crashes(told) == crashes(details)
+}
+
+fn connected_entry_hosts(links: &[PeerLink]) -> Vec<(HostName, ZoneName)> {
+    let entries = links.iter().filter(|link| link.is_entry());
+    let mut hosts: Vec<(HostName, ZoneName)> = entries
+        .filter_map(|link| link.hello.as_ref().map(|(name, zone, _)| (name.clone(), zone.clone())))
+        .collect();
+    hosts.sort();
+    hosts.dedup();
+    hosts
+}
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -15,7 +15,7 @@
 use crate::control::call_flow::answer_call;
 use crate::control::control_host::ControlHost;
 use crate::control::link_keeper::LinkKeeper;
-use crate::control::link_keeper::head_message;
+use crate::control::link_keeper::send_heads;
 use crate::control::order_flow::DetourTable;
 use crate::control::order_flow::keep_ranges;
 use crate::http_server::ConnectionCount;
@@ -116,10 +116,7 @@
     }
     host.remember_peers();
     keeper.dial();
-    let head = LinkMessage::Head(head_message(host));
-    for link in host.links.borrow().iter().filter(|link| link.is_entry()) {
-        link.link.send(&head);
-    }
+    send_heads(host, |_| true);
     send_heard(host);
     if host.leads() && !host.is_stopping.get() {
         host.keep_group();
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use gw_balance::HomeHosts;
+use gw_balance::TargetLine;
 use gw_fleet::ReplicaRecord;
 use gw_ranges::TargetOrder;
 use gw_types::Timestamp;
@@ -58,6 +59,8 @@
     /// Since when another control host is known to be ahead.
     behind_since: Option<Timestamp>,
     quarantine_digest: u64,
+    /// When the leader was told of run times.
+    reported: Timestamp,
 }
 
 impl ControlLinks {
@@ -72,6 +75,7 @@
             stream: None,
             behind_since: None,
             quarantine_digest: 0,
+            reported: Timestamp::ZERO,
         };
         links.dial(&[]);
         let mut reports = tokio::time::interval(REPORT_INTERVAL);
@@ -168,24 +172,26 @@
     fn take_head(&mut self, id: LinkId) {
         let Some(link) = self.links.iter().find(|link| link.link.id == id) else { return };
         let Some(head) = link.head.clone() else { return };
+        let details = head.details.as_ref();
         if head.is_current {
             self.host.current_at.set(self.host.now());
-            let zone = self.host.settings.borrow().zone.clone();
-            let near = head.entry_hosts.iter().filter(|(_, other)| *other == zone);
-            let homes = HomeHosts::new(near.map(|(host, _)| host.clone()).collect());
+            let host_count = usize::try_from(head.host_count).unwrap_or(usize::MAX);
+            self.host.host_count.set(host_count);
+            self.host.pool.borrow_mut().set_host_count(host_count);
+        }
+        if let Some(details) = details.filter(|_| head.is_current) {
+            let homes = HomeHosts::new(details.zone_hosts.clone());
             let is_new = *self.host.homes.borrow() != homes;
             if is_new {
                 *self.host.homes.borrow_mut() = homes;
                 self.host.follow_state();
             }
-            self.host.host_count.set(head.entry_hosts.len());
-            self.host.pool.borrow_mut().set_host_count(head.entry_hosts.len());
-            if !head.replicas.is_empty() {
-                self.dial(&head.replicas);
+            if !details.replicas.is_empty() {
+                self.dial(&details.replicas);
             }
         }
         let now = self.host.now();
-        for entry in &head.crashes {
+        for entry in details.map_or(&[][..], |details| &details.crashes) {
             self.host.quarantine.borrow_mut().merge(now, entry);
         }
         self.choose_stream();
@@ -289,6 +295,9 @@
             };
             link.link.send(&LinkMessage::Report(report));
         }
+        if leader.is_some() {
+            self.reported = now;
+        }
     }
 
     fn take_heat(&self) -> Vec<ServiceHeat> {
@@ -304,7 +313,8 @@
 
     fn run_times(&self, now: Timestamp) -> Vec<RunTime> {
         let pool = self.host.pool.borrow();
-        let lines = pool.lines().iter().filter(|line| line.failures() == 0);
+        let is_new = |line: &&TargetLine| line.failures() == 0 && line.last_end() >= self.reported;
+        let lines = pool.lines().iter().filter(is_new);
         let timed = lines.filter_map(|line| Some((line, line.run_time(now)?)));
         timed
             .map(|(line, seconds)| RunTime {
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -80,20 +80,29 @@
     pub(crate) crashes: Vec<QuarantineEntry>,
 }
 
-/// What a control host tells entry hosts regularly.
+/// What entry hosts have to know beside the state. Sent when it changes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct HeadDetails {
+    pub(crate) replicas: Vec<ReplicaRecord>,
+    /// Entry hosts of the receiver's zone that are connected.
+    pub(crate) zone_hosts: Vec<HostName>,
+    /// What all entry hosts know of requests that crash targets.
+    pub(crate) crashes: Vec<QuarantineEntry>,
+}
+
+/// What a control host tells entry hosts regularly. Kept small: it is sent to each of them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct HeadMessage {
     /// Index of the state that it has applied.
     pub(crate) index: u64,
     /// Whether it is in contact with a majority, directly or through the leader.
     pub(crate) is_current: bool,
-    pub(crate) replicas: Vec<ReplicaRecord>,
-    /// Entry hosts that are connected.
-    pub(crate) entry_hosts: Vec<(HostName, ZoneName)>,
     /// Whether it leads the control group.
     pub(crate) is_leader: bool,
-    /// What all entry hosts know of requests that crash targets.
-    pub(crate) crashes: Vec<QuarantineEntry>,
+    /// Entry hosts of all zones that are connected.
+    pub(crate) host_count: u32,
+    /// `None` if nothing has changed on this connection.
+    pub(crate) details: Option<HeadDetails>,
 }
 
 /// A message between two hosts.
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) use link_message::CallId;
 pub(crate) use link_message::CallResult;
 pub(crate) use link_message::EntryReport;
+pub(crate) use link_message::HeadDetails;
 pub(crate) use link_message::HeadMessage;
 pub(crate) use link_message::HostKind;
 pub(crate) use link_message::LinkMessage;
