--- a/crates/gw-balance/src/run_end.rs
+++ b/crates/gw-balance/src/run_end.rs
@@ -14,7 +14,9 @@
     Refused,
     /// Another target has its address: it has ended.
     Replaced,
-    /// The connection could not be made, broke, or carried something that is no answer.
+    /// No connection could be made.
+    Unreachable,
+    /// The connection broke during the run, or carried something that is no answer.
     Broken,
     /// It did not answer in time.
     Unanswered,
--- a/crates/gw-balance/src/target_line.rs
+++ b/crates/gw-balance/src/target_line.rs
@@ -127,7 +127,7 @@
                 self.note_run_time(elapsed.as_secs_f64());
                 is_failure
             }
-            RunEnd::Broken | RunEnd::Unanswered => true,
+            RunEnd::Unreachable | RunEnd::Broken | RunEnd::Unanswered => true,
         };
         self.last_end = now;
         self.failure_share +=
@@ -137,7 +137,8 @@
             return;
         }
         self.failures += 1;
-        let is_silent = matches!(end, RunEnd::Broken | RunEnd::Unanswered);
+        // A target whose connections break during runs still runs others.
+        let is_silent = matches!(end, RunEnd::Unreachable | RunEnd::Unanswered);
         if is_silent && self.failures >= PAUSE_FAILURES {
             let doublings = (self.failures - PAUSE_FAILURES).min(4);
             let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE);
--- a/crates/gw-gateway/src/entry/request_flow.rs
+++ b/crates/gw-gateway/src/entry/request_flow.rs
@@ -288,7 +288,7 @@
         ExchangeEnd::Replied(reply) => take_reply(host, request, ticket, reply),
         ExchangeEnd::NotSent(cause) => {
             log_failure(request, &ticket, "not_sent", &cause);
-            ticket.finish(RunEnd::Broken);
+            ticket.finish(RunEnd::Unreachable);
             AttemptEnd::NotRun { reason: "target_unreachable", reached: false, misdirected: false }
         }
         ExchangeEnd::Broken(cause) => {
