feat(gw-ranges): a hold of 5 s, renewed each second

Cause: the keys of a crashed or replaced target wait for the hold, core failures of 1 to 3 s must not outlast it.

--- a/crates/gw-ranges/src/granter_options.rs
+++ b/crates/gw-ranges/src/granter_options.rs
@@ -25,8 +25,8 @@
 impl Default for GranterOptions {
     fn default() -> Self {
         Self {
-            hold: Duration::from_secs(6),
-            renewal_interval: Duration::from_millis(1_500),
+            hold: Duration::from_secs(5),
+            renewal_interval: Duration::from_millis(1_000),
             retry_interval: Duration::from_millis(300),
             clock_drift: 0.02,
             settle_time: Duration::from_millis(30),
