--- a/crates/gw-gateway/src/control/order_flow.rs
+++ b/crates/gw-gateway/src/control/order_flow.rs
@@ -91,7 +91,10 @@
         order.kind,
     );
     host.ranges.borrow_mut().order_done(host.now(), &order, &outcome);
-    keep_ranges(&host, &detours);
+    if order.kind == OrderKind::Release {
+        // Callers wait for the next step of the move; grants can wait for the next tick.
+        keep_ranges(&host, &detours);
+    }
 }
 
 /// Where a run of a target takes orders. A later run at the same place may have taken a grant that
--- a/crates/gw-gateway/src/control/range_keeper.rs
+++ b/crates/gw-gateway/src/control/range_keeper.rs
@@ -15,6 +15,10 @@
 use crate::control::target_watch::TargetWatch;
 use crate::link::ServiceHeat;
 
+/// Orders under way at the same time. A new leader grants everything anew; all at once, that would
+/// keep it from its heartbeats until it loses the lead again.
+const ORDERS_AT_ONCE: usize = 40;
+
 struct KeptService {
     granter: RangeGranter,
     heat: HeatMap,
@@ -60,15 +64,21 @@
             self.add_service(now, &spec.name);
         }
         let (mut orders, mut commands) = (Vec::new(), Vec::new());
+        let under_way: usize =
+            self.services.iter().map(|kept| kept.granter.orders_under_way()).sum();
+        let mut left = ORDERS_AT_ONCE.saturating_sub(under_way);
         let unassigned = RangeTable::default();
         for kept in &mut self.services {
             let service = kept.granter.service().clone();
             let table = state.table(&service).unwrap_or(&unassigned);
             let candidates = watch.candidates(now, state, &service);
             kept.heat.advance(now);
-            for action in kept.granter.step(now, table, &candidates, &kept.heat) {
+            for action in kept.granter.step(now, table, &candidates, &kept.heat, left) {
                 match action {
-                    GranterAction::Order(order) => orders.push(order),
+                    GranterAction::Order(order) => {
+                        left -= 1;
+                        orders.push(order);
+                    }
                     GranterAction::Propose(change) => {
                         commands.push(FleetCommand::ChangeRanges(change));
                     }
--- a/crates/gw-ranges/src/range_granter.rs
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -94,18 +94,32 @@
         held.map(|lease| lease.failures).min().unwrap_or(0)
     }
 
-    /// Follows the replicated table and returns what is due. `candidates` are sorted by holder.
+    /// Orders that are under way.
+    pub fn orders_under_way(&self) -> usize {
+        self.leases.iter().filter(|lease| lease.order.is_some()).count()
+    }
+
+    /// Follows the replicated table and returns what is due, with at most `max_orders` orders; the
+    /// rest is due at the next step. `candidates` are sorted by holder.
     pub fn step(
         &mut self,
         now: Timestamp,
         table: &RangeTable,
         candidates: &[RangeCandidate],
         heat: &HeatMap,
+        max_orders: usize,
     ) -> Vec<GranterAction> {
         self.follow_table(now, table);
         let mut actions = Vec::new();
-        for index in 0..self.leases.len() {
-            self.step_lease(now, index, table, candidates, &mut actions);
+        // Those that have waited longest go first.
+        let mut due: Vec<usize> = (0..self.leases.len()).collect();
+        due.sort_by_key(|&index| self.leases[index].next_order);
+        let mut left = max_orders;
+        for index in due {
+            let before = actions.len();
+            self.step_lease(now, index, table, candidates, left > 0, &mut actions);
+            let is_order = |action: &GranterAction| matches!(action, GranterAction::Order(_));
+            left -= actions[before..].iter().filter(|action| is_order(action)).count();
         }
         if now >= self.next_plan {
             self.mark_neighbours(now);
@@ -200,6 +214,7 @@
         index: usize,
         table: &RangeTable,
         candidates: &[RangeCandidate],
+        may_order: bool,
         actions: &mut Vec<GranterAction>,
     ) {
         let standing = standing_of(&self.leases[index].holder, candidates);
@@ -233,7 +248,7 @@
                 return self.finish_move(now, index, table, actions);
             }
         };
-        if lease.order.is_some() || now < lease.next_order {
+        if lease.order.is_some() || now < lease.next_order || !may_order {
             return;
         }
         let number = self.next_number;
@@ -408,13 +423,14 @@
 }
 
 /// What is believed of `holder`. A holder that nobody announces any more may still run.
+/// `candidates` are sorted by holder, so that the runs of one target are next to each other.
 fn standing_of(holder: &RangeHolder, candidates: &[RangeCandidate]) -> HolderStanding {
-    let later_run = |candidate: &&RangeCandidate| {
-        candidate.holder.target == holder.target && candidate.holder.run > holder.run
-    };
-    if candidates.iter().any(|candidate| later_run(&candidate)) {
-        return HolderStanding::Ended;
+    let first = candidates.partition_point(|candidate| candidate.holder < *holder);
+    let runs = &candidates[first..];
+    let is_same_target = |candidate: &&RangeCandidate| candidate.holder.target == holder.target;
+    match runs.iter().take_while(is_same_target).last() {
+        Some(last) if last.holder.run > holder.run => HolderStanding::Ended,
+        Some(same) => same.standing,
+        None => HolderStanding::Silent,
     }
-    let found = candidates.iter().find(|candidate| candidate.holder == *holder);
-    found.map_or(HolderStanding::Silent, |candidate| candidate.standing)
 }
--- a/crates/gw-ranges/tests/range_granter.rs
+++ b/crates/gw-ranges/tests/range_granter.rs
@@ -67,7 +67,9 @@
             for (_, command) in due.collect::<Vec<_>>() {
                 self.commit(command);
             }
-            for action in self.granter.step(self.now, &self.table, &self.candidates, &self.heat) {
+            for action in
+                self.granter.step(self.now, &self.table, &self.candidates, &self.heat, 100)
+            {
                 match action {
                     GranterAction::Order(order) => {
                         let outcome = answer(&order);
--- a/crates/gw-ranges/tests/range_schedules.rs
+++ b/crates/gw-ranges/tests/range_schedules.rs
@@ -150,7 +150,7 @@
         self.apply_proposals();
         self.deliver();
         let candidates = self.candidates();
-        for action in self.granter.step(self.now, &self.table, &candidates, &self.heat) {
+        for action in self.granter.step(self.now, &self.table, &candidates, &self.heat, 100) {
             match action {
                 GranterAction::Order(order) => self.send(order, case),
                 GranterAction::Propose(command) => {
