--- a/crates/gw-gateway/src/log_output.rs
+++ b/crates/gw-gateway/src/log_output.rs
@@ -11,6 +11,8 @@
 
 /// Lines that wait to be written. More are dropped and counted.
 const LINE_QUEUE: usize = 512;
+/// Beginnings of the names of this project's crates.
+const OWN_PREFIXES: [&str; 2] = ["gw_", "galenawheel"];
 /// Stack of the writing thread, in bytes. It only copies lines.
 const STACK_BYTES: usize = 64 * 1024;
 
@@ -61,7 +63,9 @@
         out.finish(format_args!("time={} level={} {message}", unix_time(), record.level()));
     };
     // Only this project's lines: the libraries' ones are not key=value.
-    let is_own = |data: &log::Metadata<'_>| data.target().starts_with("gw_");
+    let is_own = |data: &log::Metadata<'_>| {
+        OWN_PREFIXES.iter().any(|prefix| data.target().starts_with(prefix))
+    };
     Ok(fern::Dispatch::new().level(level).filter(is_own).format(format).chain(output).apply()?)
 }
 
