--- a/crates/gw-balance/src/target_line.rs
+++ b/crates/gw-balance/src/target_line.rs
@@ -91,6 +91,11 @@
         now < self.paused_until
     }
 
+    /// How long it is still left alone.
+    pub fn pause_left(&self, now: Timestamp) -> Duration {
+        self.paused_until.since(now)
+    }
+
     /// Expected time in seconds until an answer to a further request, by which targets are
     /// compared. `typical` is the run time of the service's targets.
     pub(crate) fn cost(&self, now: Timestamp, typical: f64, far_penalty: f64) -> f64 {
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -21,6 +21,8 @@
 /// Longest wait for a key range that changes its holder. Most moves take a few milliseconds more
 /// than the longest run under way.
 const MOVE_WAIT: Duration = Duration::from_millis(250);
+/// Pause of a holder that a request waits for: that of a full target, or after the first failures.
+const SHORT_PAUSE: Duration = Duration::from_millis(200);
 /// When a caller may try again after its key had no holder: about the time of a move.
 const MOVE_RETRY: Duration = Duration::from_millis(300);
 /// Shortest time after which a refused caller may come back.
@@ -213,6 +215,9 @@
             let turns = (same + 1) as f64 / f64::from(line.in_flight.max(1));
             Outlook::Wait(Duration::from_secs_f64(turns * run_time))
         }
+        (Some(HolderPick::Paused), Some(line)) if line.pause_left(now) <= SHORT_PAUSE => {
+            Outlook::Wait(line.pause_left(now))
+        }
         (Some(HolderPick::Paused), Some(_)) => {
             Outlook::Hopeless { reason: "holder_fails", retry_after: MOVE_RETRY }
         }
