--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -46,6 +46,8 @@
 const CONTACT_TIME: Duration = Duration::from_millis(600);
 /// Entries after which the log is replaced by a snapshot.
 const SNAPSHOT_ENTRIES: u64 = 256;
+/// Largest command, in bytes: a configuration of tens of thousands of routes with its text.
+const COMMAND_BYTES: usize = 16 * 1024 * 1024;
 /// Requests that crash targets: the number is a bound on memory, the time outlasts resends.
 const QUARANTINE: QuarantineOptions =
     QuarantineOptions { capacity: 256, hold: Duration::from_secs(120) };
@@ -192,7 +194,11 @@
         let opened = JournalWriter::open(&data.join(JOURNAL_FOLDER));
         let (journal, recovered) = opened.map_err(|error| error.to_string())?;
         let members = Membership::of_voters(identity.first_members.iter().copied());
-        let options = ReplicaOptions::new(id, members, rand::random());
+        let options = ReplicaOptions {
+            max_batch_bytes: COMMAND_BYTES,
+            max_uncommitted_bytes: 2 * COMMAND_BYTES,
+            ..ReplicaOptions::new(id, members, rand::random())
+        };
         let node = ReplicaNode::new(options, recovered, self.now());
         *self.log.borrow_mut() = FleetLog::default();
         let replica = Replica { node, journal, last_snapshot: 0, leads_since: None };
