--- /dev/null
+++ b/crates/gw-ranges/tests/hot_keys.rs
@@ -0,0 +1,144 @@
+//! How key ranges follow hot keys: the load patterns that the plan answers.
+
+use std::time::Duration;
+
+use gw_ranges::HeatMap;
+use gw_ranges::HolderStanding;
+use gw_ranges::KeyRange;
+use gw_ranges::RangeCandidate;
+use gw_ranges::RangeHolder;
+use gw_ranges::RangeTable;
+use gw_ranges::RangeTransfer;
+use gw_ranges::plan_moves;
+use gw_types::TargetName;
+use gw_types::Timestamp;
+use gw_types::ZoneName;
+
+const TARGETS: usize = 13;
+/// Plans that are made in two seconds.
+const PLANS: usize = 8;
+
+fn candidate(index: usize, speed: f64) -> RangeCandidate {
+    let target = TargetName::new(format!("t{index:02}")).expect("a valid name");
+    RangeCandidate {
+        holder: RangeHolder { target, run: 1 },
+        zone: ZoneName::new("a").expect("a valid name"),
+        standing: HolderStanding::Serving,
+        speed,
+    }
+}
+
+struct LoadCase {
+    name: &'static str,
+    /// Share of the requests for the keys of `hot`, evenly; the rest is spread over all keys.
+    hot_share: f64,
+    hot: KeyRange,
+    speeds: &'static [f64],
+    /// Most load on one target after two seconds, in averages. Where one key has more than that,
+    /// its own load is added: it cannot be divided.
+    most: f64,
+}
+
+fn heat_of(case: &LoadCase) -> HeatMap {
+    let mut heat = HeatMap::new(Timestamp::from_millis(1_000));
+    let total = 600.0;
+    let even = (total * (1.0 - case.hot_share)) as u32;
+    (0..even).for_each(|number| heat.add((number * 65_536 / even) as u16, 1));
+    let hot = (total * case.hot_share) as u32;
+    let count = case.hot.key_count();
+    (0..hot).for_each(|number| heat.add(case.hot.first + (number % count) as u16, 1));
+    heat
+}
+
+/// Load of each target in averages.
+fn loads(table: &RangeTable, candidates: &[RangeCandidate], heat: &HeatMap) -> Vec<f64> {
+    let total_speed: f64 = candidates.iter().map(|candidate| candidate.speed).sum();
+    let average = heat.heat_of(KeyRange::ALL) / total_speed;
+    let load = |candidate: &RangeCandidate| {
+        let own = table
+            .assignments()
+            .iter()
+            .filter(|held| held.holder.as_ref() == Some(&candidate.holder));
+        own.map(|held| heat.heat_of(held.range)).sum::<f64>() / candidate.speed / average
+    };
+    candidates.iter().map(load).collect()
+}
+
+fn apply(table: &mut RangeTable, moves: &[RangeTransfer], fence: &mut u64) {
+    *fence += 1;
+    moves.iter().for_each(|transfer| {
+        table.assign(transfer, *fence);
+    });
+}
+
+/// Guards against targets that stay overloaded while others are idle: hot neighbouring keys, one
+/// very hot key, targets of different speed.
+#[test]
+fn load_is_spread_within_two_seconds() {
+    let even = &[1.0; TARGETS];
+    let mixed = &[0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7];
+    let range = |first, last| KeyRange { first, last };
+    let cases = [
+        LoadCase { name: "no hot keys", hot_share: 0.0, hot: range(0, 0), speeds: even, most: 1.5 },
+        LoadCase {
+            name: "two fifths of the requests for 200 neighbouring keys",
+            hot_share: 0.4,
+            hot: range(53_000, 53_199),
+            speeds: even,
+            most: 1.5,
+        },
+        LoadCase {
+            name: "two fifths of the requests for 60 neighbouring keys, targets of mixed speed",
+            hot_share: 0.4,
+            hot: range(100, 159),
+            speeds: mixed,
+            most: 1.6,
+        },
+        LoadCase {
+            name: "a fifth of the requests for one key",
+            hot_share: 0.2,
+            hot: range(40_000, 40_000),
+            speeds: even,
+            most: 2.8,
+        },
+        LoadCase {
+            name: "hot keys at the end of the keys",
+            hot_share: 0.4,
+            hot: range(65_500, 65_535),
+            speeds: even,
+            most: 1.5,
+        },
+    ];
+    for case in cases {
+        let speeds = case.speeds.iter().enumerate();
+        let candidates: Vec<_> = speeds.map(|(index, speed)| candidate(index, *speed)).collect();
+        let mut table = RangeTable::default();
+        let mut fence = 0;
+        let cold = HeatMap::new(Timestamp::from_millis(1_000));
+        let moves = plan_moves(&table, &candidates, &cold, |_| true);
+        apply(&mut table, &moves, &mut fence);
+        let heat = heat_of(&case);
+        for _ in 0..PLANS {
+            let moves = plan_moves(&table, &candidates, &heat, |_| true);
+            apply(&mut table, &moves, &mut fence);
+        }
+        let loads = loads(&table, &candidates, &heat);
+        let most = loads.iter().copied().fold(0.0, f64::max);
+        assert!(most <= case.most, "{}: {most:.2} averages, {loads:.2?}", case.name);
+    }
+}
+
+/// Guards against heat that stays when the hot keys change.
+#[test]
+fn old_heat_fades() {
+    let start = Timestamp::from_millis(1_000);
+    let mut heat = HeatMap::new(start);
+    heat.add(7, 100);
+    let key = KeyRange { first: 7, last: 7 };
+    let ages = [(0, 90.0, 101.0), (2, 45.0, 55.0), (10, 2.0, 4.0), (600, 0.0, 0.1)];
+    for (seconds, least, most) in ages {
+        heat.advance(start + Duration::from_secs(seconds));
+        let left = heat.heat_of(key);
+        assert!((least..=most).contains(&left), "{left} after {seconds} s");
+    }
+}
