--- a/crates/gw-gateway/src/entry/request_flow.rs
+++ b/crates/gw-gateway/src/entry/request_flow.rs
@@ -45,6 +45,9 @@
 const QUARANTINE_RETRY: Duration = Duration::from_secs(10);
 /// Targets that a request may crash before it is refused everywhere.
 const CRASH_LIMIT: u8 = 3;
+/// Idle time after which a kept connection is not used for a request that must run once at most: it
+/// may have gone silent meanwhile, and the outcome of what is written to it would not be known.
+const CAREFUL_IDLE: Duration = Duration::from_secs(1);
 /// Attempts that end before anything is sent and do not count as attempts of the route.
 const UNSENT_LIMIT: u32 = 3;
 /// Time kept for the way of the answer back to the caller.
@@ -300,7 +303,11 @@
     let (holder, address) = (ticket.holder.clone(), ticket.address);
     let outgoing = build_request(host, request, &holder.target, remaining);
     let flight = InFlight::start(host, &ticket, request.fingerprint);
-    let end = host.connections.exchange(address, outgoing, until, || true).await;
+    let max_idle = match request.rule.repeat {
+        RepeatRule::Idempotent => Duration::MAX,
+        RepeatRule::AtMostOnce => CAREFUL_IDLE,
+    };
+    let end = host.connections.exchange(address, outgoing, until, max_idle, || true).await;
     let others = flight.finish();
     log::debug!(
         "event=exchange id={} target={} address={address} end={end:?}",
--- a/crates/gw-gateway/src/targets/order_sender.rs
+++ b/crates/gw-gateway/src/targets/order_sender.rs
@@ -48,7 +48,7 @@
         OrderKind::Release => RELEASE_TIMEOUT,
     };
     let deadline = Instant::now() + limit;
-    match connections.exchange(address, request, deadline, may_send).await {
+    match connections.exchange(address, request, deadline, Duration::MAX, may_send).await {
         ExchangeEnd::Replied(reply) => {
             dialect.read_order_answer(order, reply.head.status, &reply.head.headers)
         }
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -49,6 +49,7 @@
 struct IdleConnection {
     address: SocketAddr,
     connection: TargetConnection,
+    kept_since: Instant,
     usable_until: Instant,
 }
 
@@ -65,11 +66,14 @@
         self.opened.get()
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<TargetConnection> {
+    fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<TargetConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|kept| kept.usable_until > now && !kept.connection.sender.is_closed());
-        let newest = idle.iter().rposition(|kept| kept.address == address)?;
+        let is_fit = |kept: &IdleConnection| {
+            kept.address == address && now.duration_since(kept.kept_since) <= max_idle
+        };
+        let newest = idle.iter().rposition(is_fit)?;
         Some(idle.remove(newest).connection)
     }
 
@@ -77,8 +81,9 @@
         let mut idle = self.idle.borrow_mut();
         let of_target = idle.iter().filter(|kept| kept.address == address).count();
         if of_target < IDLE_PER_TARGET {
-            let usable_until = Instant::now() + idle_time;
-            idle.push(IdleConnection { address, connection, usable_until });
+            let kept_since = Instant::now();
+            let usable_until = kept_since + idle_time;
+            idle.push(IdleConnection { address, connection, kept_since, usable_until });
         }
     }
 
@@ -105,18 +110,20 @@
         Ok(TargetConnection { sender, driver })
     }
 
-    /// Sends a request and waits for the whole answer until `deadline`. `may_send` is asked right
-    /// before the request is handed over.
+    /// Sends a request and waits for the whole answer until `deadline`. A kept connection is used
+    /// if it was idle for at most `max_idle`. `may_send` is asked right before the request is handed
+    /// over.
     pub(crate) async fn exchange(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         deadline: Instant,
+        max_idle: Duration,
         may_send: impl Fn() -> bool,
     ) -> ExchangeEnd {
         let mut request = request;
         loop {
-            let kept = self.take_idle(address);
+            let kept = self.take_idle(address, max_idle);
             let is_kept = kept.is_some();
             let mut connection = match kept {
                 Some(connection) => connection,
