--- a/crates/gw-gateway/src/control/link_keeper.rs
+++ b/crates/gw-gateway/src/control/link_keeper.rs
@@ -1,4 +1,3 @@
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -6,11 +5,10 @@
 use gw_types::Timestamp;
 use gw_types::ZoneName;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
-use tokio::task::spawn_local;
 
 use crate::control::control_host::Asker;
 use crate::control::control_host::ControlHost;
+use crate::link::DialedPeers;
 use crate::link::EntryReport;
 use crate::link::HeadDetails;
 use crate::link::HeadMessage;
@@ -18,7 +16,6 @@
 use crate::link::LinkEvent;
 use crate::link::LinkHandle;
 use crate::link::LinkMessage;
-use crate::link::keep_link;
 
 /// A connection to another host.
 pub(crate) struct PeerLink {
@@ -47,13 +44,12 @@
 /// Connections to other control hosts, made for as long as they are known.
 pub(crate) struct LinkKeeper {
     host: Rc<ControlHost>,
-    events: mpsc::Sender<LinkEvent>,
-    dialed: BTreeMap<SocketAddr, JoinHandle<()>>,
+    dialed: DialedPeers,
 }
 
 impl LinkKeeper {
     pub(crate) fn new(host: Rc<ControlHost>, events: mpsc::Sender<LinkEvent>) -> Self {
-        Self { host, events, dialed: BTreeMap::new() }
+        Self { host, dialed: DialedPeers::new(events) }
     }
 
     /// Connects to all known control hosts and to no others.
@@ -69,24 +65,12 @@
         let identity = self.host.identity.borrow();
         let remembered = identity.as_ref().map_or(&[][..], |identity| &identity.peers);
         let remembered = remembered.iter().map(|(_, peers)| *peers);
-        let mut wanted: Vec<SocketAddr> =
+        let wanted: Vec<SocketAddr> =
             seeds.chain(known).chain(remembered).filter(|peer| *peer != own).collect();
-        wanted.sort();
-        wanted.dedup();
-        self.dialed.retain(|peer, task| {
-            let is_wanted = wanted.binary_search(peer).is_ok();
-            if !is_wanted {
-                task.abort();
-            }
-            is_wanted
-        });
-        for peer in wanted {
-            let events = &self.events;
-            self.dialed.entry(peer).or_insert_with(|| spawn_local(keep_link(peer, events.clone())));
-        }
+        self.dialed.follow(wanted);
         let dialed = &self.dialed;
         let mut links = self.host.links.borrow_mut();
-        links.retain(|link| !link.is_own || dialed.contains_key(&link.peer));
+        links.retain(|link| !link.is_own || dialed.contains(&link.peer));
     }
 
     /// Handles what happened on a connection.
--- a/crates/gw-gateway/src/control/mod.rs
+++ b/crates/gw-gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod link_keeper;
 mod order_flow;
 mod range_keeper;
+mod replica_driver;
 mod replica_identity;
 mod run_control;
 mod target_watch;
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -1,4 +1,3 @@
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,11 +9,11 @@
 use gw_types::Timestamp;
 use gw_types::ZoneName;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 
 use crate::entry::entry_host::EntryHost;
 use crate::link::CallResult;
+use crate::link::DialedPeers;
 use crate::link::EntryReport;
 use crate::link::HeadMessage;
 use crate::link::HostKind;
@@ -24,7 +23,6 @@
 use crate::link::LinkMessage;
 use crate::link::RunTime;
 use crate::link::ServiceHeat;
-use crate::link::keep_link;
 use crate::targets::send_order;
 
 /// Time between two reports to control hosts.
@@ -50,9 +48,8 @@
 /// how far they are, and are asked when the first one falls behind.
 pub(crate) struct ControlLinks {
     host: Rc<EntryHost>,
-    events: mpsc::Sender<LinkEvent>,
     /// Control hosts that are connected to, by address.
-    dialed: BTreeMap<SocketAddr, JoinHandle<()>>,
+    dialed: DialedPeers,
     links: Vec<ControlLink>,
     /// Where changes are streamed from.
     stream: Option<LinkId>,
@@ -69,8 +66,7 @@
         let (events, mut queue) = mpsc::channel(EVENT_QUEUE);
         let mut links = Self {
             host,
-            events,
-            dialed: BTreeMap::new(),
+            dialed: DialedPeers::new(events),
             links: Vec::new(),
             stream: None,
             behind_since: None,
@@ -99,22 +95,10 @@
         };
         let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
         let known = replicas.iter().map(|replica| replica.peers);
-        let mut wanted: Vec<SocketAddr> = seeds.chain(known).collect();
-        wanted.sort();
-        wanted.dedup();
-        self.dialed.retain(|peer, task| {
-            let is_wanted = wanted.binary_search(peer).is_ok();
-            if !is_wanted {
-                task.abort();
-            }
-            is_wanted
-        });
-        for peer in wanted {
-            let events = &self.events;
-            self.dialed.entry(peer).or_insert_with(|| spawn_local(keep_link(peer, events.clone())));
-        }
+        let wanted: Vec<SocketAddr> = seeds.chain(known).collect();
+        self.dialed.follow(wanted);
         let dialed = &self.dialed;
-        self.links.retain(|link| dialed.contains_key(&link.peer));
+        self.links.retain(|link| dialed.contains(&link.peer));
     }
 
     fn take_event(&mut self, event: LinkEvent) {
--- /dev/null
+++ b/crates/gw-gateway/src/link/dialed_peers.rs
@@ -0,0 +1,49 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::task::spawn_local;
+
+use crate::link::LinkEvent;
+use crate::link::keep_link;
+
+/// The hosts that this one keeps connections to.
+pub(crate) struct DialedPeers {
+    events: mpsc::Sender<LinkEvent>,
+    dialed: BTreeMap<SocketAddr, JoinHandle<()>>,
+}
+
+impl DialedPeers {
+    /// No connections yet; what happens on them goes to `events`.
+    pub(crate) fn new(events: mpsc::Sender<LinkEvent>) -> Self {
+        Self { events, dialed: BTreeMap::new() }
+    }
+
+    /// Keeps connections to `wanted` and to no others.
+    pub(crate) fn follow(&mut self, mut wanted: Vec<SocketAddr>) {
+        wanted.sort();
+        wanted.dedup();
+        self.dialed.retain(|peer, task| {
+            let is_wanted = wanted.binary_search(peer).is_ok();
+            if !is_wanted {
+                task.abort();
+            }
+            is_wanted
+        });
+        for peer in wanted {
+            let events = &self.events;
+            self.dialed.entry(peer).or_insert_with(|| spawn_local(keep_link(peer, events.clone())));
+        }
+    }
+
+    /// Whether a connection to `peer` is kept.
+    pub(crate) fn contains(&self, peer: &SocketAddr) -> bool {
+        self.dialed.contains_key(peer)
+    }
+
+    /// Whether no connection is kept.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.dialed.is_empty()
+    }
+}
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -1,9 +1,11 @@
 //! Connections between hosts: length-prefixed postcard frames over TCP.
 
+mod dialed_peers;
 mod link_handle;
 mod link_message;
 mod link_task;
 
+pub(crate) use dialed_peers::DialedPeers;
 pub(crate) use link_handle::LinkHandle;
 pub(crate) use link_message::CallFailure;
 pub(crate) use link_message::CallId;
@@ -18,4 +20,4 @@
 pub(crate) use link_task::LinkEvent;
 pub(crate) use link_task::LinkId;
 pub(crate) use link_task::accept_links;
-pub(crate) use link_task::keep_link;
+use link_task::keep_link;
