fix(gw-agreement): a new leader counts the wait for old leases from when its voters last heard a leader

The wait for old leases counted from the shortest election timeout before the election, although the voters had not heard a leader for longer than that. Change: a vote says how long ago its voter heard a leader; the leader takes the shortest. A leader that steps down, or changes the members, counts its last contact with a majority as a sign.

--- a/crates/gw-agreement/src/election.rs
+++ b/crates/gw-agreement/src/election.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use gw_types::HostId;
 use gw_types::Timestamp;
 
@@ -65,6 +67,7 @@
             self.set_hard_state(HardState { term, vote: None });
         }
         if self.is_leader() {
+            self.remember_majority(now);
             self.reset_election_deadline(now);
         }
         self.role = ReplicaRole::Follower { leader: None };
@@ -168,8 +171,7 @@
         self.election_deadline = now + self.timeouts.draw() / CAMPAIGN_DIVISOR;
         let term = self.hard_state.term.next();
         self.set_hard_state(HardState { term, vote: Some(self.options.id) });
-        self.role = ReplicaRole::Candidate { granted: Vec::new() };
-        self.is_transferred = transfer;
+        self.role = ReplicaRole::Candidate { granted: Vec::new(), silence: Duration::MAX };
         let last_index = self.log.last_index();
         let last_term = self.log.last_term();
         for to in self.other_voters() {
@@ -191,39 +193,42 @@
             self.set_hard_state(HardState { vote: Some(from), ..self.hard_state });
             self.reset_election_deadline(now);
         }
-        self.send_after_sync(from, MessageBody::VoteAnswer { granted });
+        let silence = now.since(self.heard_leader);
+        self.send_after_sync(from, MessageBody::VoteAnswer { granted, silence });
     }
 
-    pub(crate) fn handle_vote_answer(&mut self, now: Timestamp, from: HostId, granted: bool) {
-        if let ReplicaRole::Candidate { granted: voters } = &mut self.role
-            && granted
-        {
-            add_once(voters, from);
-            self.count_votes(now);
+    pub(crate) fn handle_vote_answer(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        granted: bool,
+        silence: Duration,
+    ) {
+        if granted {
+            self.add_vote(now, from, silence);
         }
     }
 
     pub(crate) fn count_own_vote(&mut self, now: Timestamp) {
-        let is_synced = self.synced_hard_state == self.hard_state;
-        if let ReplicaRole::Candidate { granted } = &mut self.role
-            && is_synced
-        {
-            add_once(granted, self.options.id);
-            self.count_votes(now);
+        if self.synced_hard_state == self.hard_state {
+            self.add_vote(now, self.options.id, now.since(self.heard_leader));
         }
     }
 
-    fn count_votes(&mut self, now: Timestamp) {
-        if let ReplicaRole::Candidate { granted } = &self.role
+    fn add_vote(&mut self, now: Timestamp, from: HostId, voter_silence: Duration) {
+        let ReplicaRole::Candidate { granted, silence } = &mut self.role else { return };
+        add_once(granted, from);
+        *silence = voter_silence.min(*silence);
+        if let ReplicaRole::Candidate { granted, silence } = &self.role
             && self.is_majority(granted)
         {
-            self.become_leader(now);
+            self.become_leader(now, *silence);
         }
     }
 
-    fn become_leader(&mut self, now: Timestamp) {
+    fn become_leader(&mut self, now: Timestamp, quiet_time: Duration) {
         let next = self.log.last_index().next();
-        let mut state = LeaderState::new(now, next);
+        let mut state = LeaderState::new(now, quiet_time, next);
         state.refresh_members(self.options.id, self.log.membership(), next);
         self.role = ReplicaRole::Leader(state);
         self.assembly = None;
--- a/crates/gw-agreement/src/leader_state.rs
+++ b/crates/gw-agreement/src/leader_state.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use gw_types::HostId;
 use gw_types::Timestamp;
 
@@ -9,6 +11,8 @@
 #[derive(Debug)]
 pub(crate) struct LeaderState {
     pub(crate) since: Timestamp,
+    /// The shortest time since one of this leader's voters had heard a leader when it voted.
+    pub(crate) quiet_time: Duration,
     /// The entry that starts the term.
     pub(crate) first_index: LogIndex,
     /// The other members, in the order of the membership.
@@ -32,9 +36,10 @@
 }
 
 impl LeaderState {
-    pub(crate) fn new(now: Timestamp, first_index: LogIndex) -> Self {
+    pub(crate) fn new(now: Timestamp, quiet_time: Duration, first_index: LogIndex) -> Self {
         Self {
             since: now,
+            quiet_time,
             first_index,
             members: Vec::new(),
             next_heartbeat: now,
--- a/crates/gw-agreement/src/log_replication.rs
+++ b/crates/gw-agreement/src/log_replication.rs
@@ -89,7 +89,16 @@
         index
     }
 
-    pub(crate) fn append_membership(&mut self, membership: Membership) -> LogIndex {
+    /// Counts the last contact with a majority as a sign of a leader, for a later vote.
+    pub(crate) fn remember_majority(&mut self, now: Timestamp) {
+        let Some(state) = self.role.leader_state() else { return };
+        let confirmed = self.majority_contact(now, state);
+        self.heard_leader = confirmed.map_or(self.heard_leader, |at| at.max(self.heard_leader));
+    }
+
+    pub(crate) fn append_membership(&mut self, now: Timestamp, membership: Membership) -> LogIndex {
+        // A majority of the members so far may be none of the new ones.
+        self.remember_majority(now);
         let next = self.log.last_index().next();
         let index = self.append_as_leader(EntryPayload::Membership(membership));
         if let Some(state) = self.role.leader_state_mut() {
@@ -258,7 +267,7 @@
             && self.may_change_membership()
             && self.check_proposal(now).is_ok()
         {
-            self.append_membership(self.log.membership().promoted(host));
+            self.append_membership(now, self.log.membership().promoted(host));
         }
     }
 
--- a/crates/gw-agreement/src/message.rs
+++ b/crates/gw-agreement/src/message.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use gw_types::HostId;
 use gw_types::Timestamp;
 use serde::Deserialize;
@@ -57,6 +59,8 @@
     VoteAnswer {
         /// Whether the sender voted for the receiver in this term.
         granted: bool,
+        /// Time since the sender last heard a leader, or had a majority as leader, on its clock.
+        silence: Duration,
     },
     /// Entries after `previous_index`; without entries, a heartbeat.
     Append {
--- a/crates/gw-agreement/src/replica_node.rs
+++ b/crates/gw-agreement/src/replica_node.rs
@@ -50,12 +50,11 @@
     pub(crate) commit: LogIndex,
     /// Last entry that was handed out. At most `commit` and `synced`.
     pub(crate) applied: LogIndex,
-    /// When this replica last heard from a leader. Set at the start as well: before a restart it
-    /// may have answered a leader that relies on it for an election timeout.
+    /// When this replica last heard from a leader, or last had a majority as leader. Set at the
+    /// start as well: before a restart it may have answered a leader that relies on it for an
+    /// election timeout.
     pub(crate) heard_leader: Timestamp,
     pub(crate) election_deadline: Timestamp,
-    /// Whether the last campaign was asked for by a leader that gave its place up.
-    pub(crate) is_transferred: bool,
     pub(crate) timeouts: TimeoutSource,
     pub(crate) messages: Vec<Envelope>,
     pub(crate) messages_after_sync: Vec<Envelope>,
@@ -93,7 +92,6 @@
             log,
             heard_leader: now,
             election_deadline: now + timeouts.draw(),
-            is_transferred: false,
             timeouts,
             messages: Vec::new(),
             messages_after_sync: Vec::new(),
@@ -143,7 +141,9 @@
             MessageBody::VoteRequest { last_index, last_term, transfer } => {
                 self.handle_vote_request(now, from, (last_term, last_index), transfer);
             }
-            MessageBody::VoteAnswer { granted } => self.handle_vote_answer(now, from, granted),
+            MessageBody::VoteAnswer { granted, silence } => {
+                self.handle_vote_answer(now, from, granted, silence);
+            }
             MessageBody::TransferNow => self.handle_transfer_now(now, from),
             MessageBody::StaleTerm => {}
             body @ (MessageBody::Append { .. } | MessageBody::SnapshotChunk { .. }) => {
@@ -179,7 +179,7 @@
             return Err(ProposeError::ChangeInProgress);
         }
         let changed = self.log.membership().changed(change).ok_or(ProposeError::InvalidChange)?;
-        Ok(self.append_membership(changed))
+        Ok(self.append_membership(now, changed))
     }
 
     /// Hands leadership to the voter whose log is longest, for a graceful shutdown.
@@ -352,16 +352,13 @@
     }
 
     /// Time before this replica became leader in which no other leader can have sent a round of
-    /// messages that a majority answered.
+    /// messages that a majority answered; zero on other replicas.
     ///
-    /// Each voter refuses votes for the shortest election timeout after it heard a leader, and one
-    /// of this leader's voters is in every majority. Zero after a transfer, whose votes are granted
-    /// at once. Measured on the clocks of the voters.
+    /// Each voter tells with its vote how long ago it heard a leader, and one of this leader's
+    /// voters is in every majority. At least the shortest election timeout, but for elections that
+    /// a leader asked for, whose votes are granted at once. Measured on the clocks of the voters.
     pub fn quiet_time(&self) -> Duration {
-        match self.is_transferred {
-            true => Duration::ZERO,
-            false => self.options.election_timeout_min,
-        }
+        self.role.leader_state().map_or(Duration::ZERO, |state| state.quiet_time)
     }
 
     /// Last entry that was handed out to be applied, or that an installed snapshot covers.
--- a/crates/gw-agreement/src/replica_role.rs
+++ b/crates/gw-agreement/src/replica_role.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use gw_types::HostId;
 
 use crate::leader_state::LeaderState;
@@ -21,6 +23,8 @@
     Candidate {
         /// Voters that voted for this replica, itself only once its vote is synced.
         granted: Vec<HostId>,
+        /// The shortest time since one of them heard a leader.
+        silence: Duration,
     },
     Leader(LeaderState),
 }
--- a/crates/gw-agreement/tests/harness/checks.rs
+++ b/crates/gw-agreement/tests/harness/checks.rs
@@ -6,6 +6,7 @@
 use gw_agreement::LogIndex;
 use gw_agreement::Term;
 use gw_types::HostId;
+use gw_types::Timestamp;
 
 /// What a schedule has shown to be wrong.
 #[derive(Clone, Debug)]
@@ -57,6 +58,8 @@
     /// Hash of the applied entries up to each index.
     applied: BTreeMap<LogIndex, u64>,
     pub(crate) coverage: Coverage,
+    /// When the last round that a majority answered was sent, by the term of its leader.
+    confirmed: BTreeMap<Term, Timestamp>,
     /// Content of the proposals whose commit was reported to the proposer.
     pub(crate) acknowledged: BTreeMap<LogIndex, u64>,
 }
@@ -103,6 +106,20 @@
         if index >= last { Ok(()) } else { Err(Violation::Progress(message())) }
     }
 
+    /// Notes that a majority answered a round that the leader of `term` sent at `sent`.
+    pub(crate) fn confirms(&mut self, term: Term, sent: Timestamp) {
+        let latest = self.confirmed.entry(term).or_insert(sent);
+        *latest = sent.max(*latest);
+    }
+
+    /// No leader of an earlier term sent a round after `quiet_since` that a majority answered.
+    pub(crate) fn takes_over(&self, term: Term, quiet_since: Timestamp) -> Checked {
+        let later = self.confirmed.range(..term).find(|(_, sent)| **sent > quiet_since);
+        ensure(later.is_none(), || {
+            format!("{later:?} was confirmed, but {term} counts as quiet since {quiet_since:?}")
+        })
+    }
+
     /// While one leader claims a quorum, no other replica leads a later term.
     pub(crate) fn sole_quorum(&self, leaders: &[(HostId, Term, bool)]) -> Checked {
         for (host, term, _) in leaders.iter().filter(|(_, _, has_quorum)| *has_quorum) {
--- a/crates/gw-agreement/tests/harness/cluster.rs
+++ b/crates/gw-agreement/tests/harness/cluster.rs
@@ -335,7 +335,18 @@
         let now = self.now;
         let running = self.replicas.iter().filter_map(|replica| replica.running.as_ref());
         let leaders = running.filter(|running| running.node.is_leader());
+        let leaders: Vec<_> = leaders.collect();
+        for running in &leaders {
+            let node = &running.node;
+            if let Some(confirmed) = node.confirmed_at(now) {
+                self.checks.confirms(node.term(), confirmed);
+            }
+            if let Some(since) = node.leader_since() {
+                self.checks.takes_over(node.term(), since - node.quiet_time())?;
+            }
+        }
         let leaders: Vec<_> = leaders
+            .iter()
             .map(|running| (running.node.id(), running.node.term(), running.node.has_quorum(now)))
             .collect();
         if leaders.len() < 2 { Ok(()) } else { self.checks.sole_quorum(&leaders) }
