fix(gw-ranges): a new leader takes back the moves of the lost one

Their holders had released them, and the new leader waited 6.2 s for grants in doubt before it could finish the moves: 93 requests were refused as key_moves from 2 s to 10 s, and again after the power of all hosts had been off. Change: the new leader gives such a range a new fencing token for the holder it has; the move is planned again once the holder has taken that. A holder that leaves settles a doubt in the same way. Ruled out: waiting for the release alone, since a late grant of the lost leader may still arrive. Test: moves_of_a_lost_leader_are_taken_back, failing before.

--- a/crates/gw-ranges/src/range_granter.rs
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -161,8 +161,9 @@
                 order: None,
                 failures,
                 is_granted: false,
-                needs_fence: is_fresh && held.successor.is_none(),
+                needs_fence: is_fresh,
                 stage: MoveStage::Held,
+                takes_back: is_fresh && held.successor.is_some(),
                 handover: None,
                 proposed: None,
             });
@@ -180,7 +181,7 @@
                 lease.next_order = now;
             }
             match (&held.successor, &lease.stage) {
-                (Some(_), MoveStage::Held) => {
+                (Some(_), MoveStage::Held) if !lease.takes_back => {
                     let until = now + self.options.settle_time;
                     lease.stage = MoveStage::Settling { until };
                     lease.proposed = None;
@@ -382,6 +383,23 @@
         }
     }
 
+    /// Whether the range cannot change hands before a grant in doubt is over, although its holder
+    /// still answers and may settle the doubt under a new fencing token.
+    fn is_in_doubt(
+        &self,
+        now: Timestamp,
+        transfer: &RangeTransfer,
+        candidates: &[RangeCandidate],
+    ) -> bool {
+        let leases = self.leases.iter().filter(|lease| lease.range.overlaps(transfer.range));
+        let mut doubtful = leases.filter(|lease| now < lease.unanswered_until);
+        doubtful.any(|lease| {
+            let standing = standing_of(&lease.holder, candidates);
+            let answers = matches!(standing, HolderStanding::Serving | HolderStanding::Leaving);
+            answers && lease.failures < GIVE_UP_FAILURES
+        })
+    }
+
     fn plan(
         &mut self,
         now: Timestamp,
@@ -409,6 +427,7 @@
         });
         let (first, later): (Vec<_>, Vec<_>) = moves
             .into_iter()
+            .filter(|transfer| !self.is_in_doubt(now, transfer, &seen))
             .partition(|transfer| table.find(transfer.range.first).holder.is_none());
         let service = &self.service;
         if !first.is_empty() {
--- a/crates/gw-ranges/src/range_lease.rs
+++ b/crates/gw-ranges/src/range_lease.rs
@@ -46,6 +46,9 @@
     /// it is without an answer.
     pub(crate) needs_fence: bool,
     pub(crate) stage: MoveStage,
+    /// The table has a next holder that an earlier leader named. The move is taken back: its
+    /// release may have been answered to that leader, and then nobody serves the keys.
+    pub(crate) takes_back: bool,
     /// Handover token for the first grant.
     pub(crate) handover: Option<Arc<str>>,
     /// Whether the change that ends this lease was proposed.
--- a/crates/gw-ranges/tests/range_granter.rs
+++ b/crates/gw-ranges/tests/range_granter.rs
@@ -182,3 +182,54 @@
         assert!(time >= case.within.0 && time <= case.within.1, "{}: {time:?}", case.name);
     }
 }
+
+struct TakeoverCase {
+    name: &'static str,
+    /// What is believed of the holder once the new leader has started.
+    standing: HolderStanding,
+    /// Who is to have the keys.
+    holder: &'static str,
+    within: Duration,
+}
+
+/// Guards against keys that nobody serves for as long as a hold because the leader was lost while
+/// they moved: their holder has released them already.
+#[test]
+fn moves_of_a_lost_leader_are_taken_back() {
+    let cases = [
+        TakeoverCase {
+            name: "the holder stays",
+            standing: HolderStanding::Serving,
+            holder: "t1",
+            within: Duration::from_millis(300),
+        },
+        TakeoverCase {
+            name: "the holder leaves",
+            standing: HolderStanding::Leaving,
+            holder: "t2",
+            within: Duration::from_secs(1),
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::new(vec![candidate("t1", HolderStanding::Serving)]);
+        bench.run(Duration::from_secs(1), done);
+        bench.candidates = vec![
+            candidate("t1", HolderStanding::Leaving),
+            candidate("t2", HolderStanding::Serving),
+        ];
+        while bench.sent.last().is_none_or(|order| order.kind != OrderKind::Release) {
+            bench.run(Duration::from_millis(10), done);
+        }
+        // The assignment that would end the move is lost with the leader.
+        bench.proposed.clear();
+        bench.sent.clear();
+        bench.candidates[0] = candidate("t1", case.standing);
+        let service = ServiceName::new("slips").expect("a valid name");
+        bench.granter = RangeGranter::new(service, GranterOptions::default(), bench.now);
+        bench.run(case.within, done);
+        let grants = bench.sent.iter().filter(|order| order.kind != OrderKind::Release);
+        let last = grants.last().map(|order| order.holder.target.as_str());
+        assert_eq!(last, Some(case.holder), "{}: last grant", case.name);
+        assert_eq!(bench.holder_name(), case.holder, "{}: table", case.name);
+    }
+}
