feat(gw-ranges): speeds of targets without their queues; a hot key goes to a fast target

A target with a queue also counted as slow, so its keys went to targets that were slower. Change: entry hosts report number and time of answers, the leader works out the time of one run from time and rate of the answers; a key that is alone too much for its holder goes to the target on which it leaves the least load, if that is three quarters of the present one at most.

--- a/crates/gw-balance/src/target_line.rs
+++ b/crates/gw-balance/src/target_line.rs
@@ -16,6 +16,9 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// Pause after a refusal: the target is full for about one run.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(40);
+/// How many times the average a run counts at most when the target's speed is worked out: a few
+/// requests need far more work than others, at any target.
+const STRAGGLER_FACTOR: u32 = 3;
 /// Failures in a row after which a target is paused. One failure alone may be the request's fault.
 const PAUSE_FAILURES: u32 = 2;
 
@@ -42,6 +45,8 @@
     /// Whether another target has its address. This run never serves again.
     has_ended: bool,
     last_end: Timestamp,
+    /// Runs that it answered without failure and that were not taken yet, and their time together.
+    untaken: (u32, Duration),
 }
 
 impl TargetLine {
@@ -58,6 +63,7 @@
             paused_until: Timestamp::ZERO,
             has_ended: false,
             last_end: now,
+            untaken: (0, Duration::ZERO),
         }
     }
 
@@ -66,11 +72,6 @@
         self.run_time.filter(|_| now.since(self.last_end) < AVERAGE_AGE || self.in_flight > 0)
     }
 
-    /// When a run ended last, or when the target was learnt.
-    pub fn last_end(&self) -> Timestamp {
-        self.last_end
-    }
-
     /// Failures in a row.
     pub fn failures(&self) -> u32 {
         self.failures
@@ -129,6 +130,9 @@
                 return;
             }
             RunEnd::Answered { elapsed, is_failure } => {
+                if !is_failure {
+                    self.add_untaken(elapsed);
+                }
                 self.note_run_time(elapsed.as_secs_f64());
                 is_failure
             }
@@ -151,6 +155,17 @@
         }
     }
 
+    fn add_untaken(&mut self, elapsed: Duration) {
+        let usual = self.run_time.map_or(elapsed, Duration::from_secs_f64);
+        let (runs, total) = self.untaken;
+        self.untaken = (runs + 1, total + elapsed.min(usual * STRAGGLER_FACTOR));
+    }
+
+    pub(crate) fn take_runs(&mut self) -> Option<(u32, Duration)> {
+        let taken = std::mem::take(&mut self.untaken);
+        (taken.0 > 0).then_some(taken)
+    }
+
     fn note_run_time(&mut self, seconds: f64) {
         let average = self.run_time.get_or_insert(seconds);
         *average += AVERAGE_WEIGHT * (seconds - *average);
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -192,6 +192,18 @@
         }
     }
 
+    /// Takes the runs that targets answered since they were last taken: holder, number and time to
+    /// answer of all of them together.
+    pub fn take_runs(&mut self) -> Vec<(RangeHolder, u32, Duration)> {
+        let lines = self.lines.iter_mut();
+        lines
+            .filter_map(|line| {
+                let (runs, total) = line.take_runs()?;
+                Some((line.record.holder(), runs, total))
+            })
+            .collect()
+    }
+
     fn line_mut(&mut self, holder: &RangeHolder) -> Option<&mut TargetLine> {
         let found = self.lines.binary_search_by(|line| line.record.name.cmp(&holder.target));
         let line = found.ok().map(|index| &mut self.lines[index]);
--- a/crates/gw-gateway/src/control/link_keeper.rs
+++ b/crates/gw-gateway/src/control/link_keeper.rs
@@ -169,7 +169,7 @@
     let now = host.now();
     with_link(host, link, |known| known.clock = Some((report.clock, now)));
     let mut watch = host.watch.borrow_mut();
-    report.run_times.iter().for_each(|time| watch.note_run_time(now, time));
+    report.runs.iter().for_each(|runs| watch.note_runs(now, runs));
     let mut ranges = host.ranges.borrow_mut();
     report.heat.iter().for_each(|heat| ranges.note_heat(now, heat));
     let mut quarantine = host.quarantine.borrow_mut();
--- a/crates/gw-gateway/src/control/target_watch.rs
+++ b/crates/gw-gateway/src/control/target_watch.rs
@@ -4,14 +4,16 @@
 use gw_fleet::DepartureCause;
 use gw_fleet::FleetState;
 use gw_fleet::TargetPhase;
+use gw_fleet::TargetRecord;
 use gw_ranges::HolderStanding;
 use gw_ranges::RangeCandidate;
 use gw_ranges::RangeHolder;
+use gw_ranges::WorkMeter;
 use gw_types::ServiceName;
 use gw_types::TargetName;
 use gw_types::Timestamp;
 
-use crate::link::RunTime;
+use crate::link::RunReport;
 use crate::ports::TargetBeat;
 
 /// Time without an announcement or answer after which a target is silent: three announcements.
@@ -19,7 +21,7 @@
 /// Time without an announcement or answer after which a target is removed.
 const REMOVAL_TIME: Duration = Duration::from_secs(9);
 /// Bounds of a target's speed relative to the others, so that a few odd runs move no keys.
-const SPEED_BOUNDS: (f64, f64) = (0.5, 2.0);
+const SPEED_BOUNDS: (f64, f64) = (0.2, 3.0);
 
 #[derive(Clone, Copy, Debug)]
 struct Heard {
@@ -33,8 +35,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct TargetWatch {
     heard: BTreeMap<TargetName, Heard>,
-    /// Moving averages in milliseconds over the reports of entry hosts.
-    run_times: BTreeMap<RangeHolder, f64>,
+    /// Runs that entry hosts reported.
+    meters: BTreeMap<RangeHolder, WorkMeter>,
     /// Targets not heard yet count from then.
     since: Timestamp,
 }
@@ -68,13 +70,10 @@
     }
 
     /// Notes that a target answered an entry host.
-    pub(crate) fn note_run_time(&mut self, now: Timestamp, run_time: &RunTime) {
-        /// Weight of one report.
-        const WEIGHT: f64 = 0.1;
-        self.note_heard(now, &run_time.holder.target);
-        let newest = f64::from(run_time.milliseconds);
-        let average = self.run_times.entry(run_time.holder.clone()).or_insert(newest);
-        *average += WEIGHT * (newest - *average);
+    pub(crate) fn note_runs(&mut self, now: Timestamp, report: &RunReport) {
+        self.note_heard(now, &report.holder.target);
+        let total = Duration::from_millis(u64::from(report.milliseconds));
+        self.meters.entry(report.holder.clone()).or_default().note(now, report.runs, total);
     }
 
     fn silence(&self, now: Timestamp, name: &TargetName) -> Duration {
@@ -92,7 +91,7 @@
     /// Forgets targets that the state no longer has.
     pub(crate) fn forget(&mut self, state: &FleetState) {
         self.heard.retain(|name, _| state.target(name).is_some());
-        self.run_times.retain(|holder, _| {
+        self.meters.retain(|holder, _| {
             state.target(&holder.target).is_some_and(|target| target.run == holder.run)
         });
     }
@@ -104,7 +103,7 @@
         state: &FleetState,
         service: &ServiceName,
     ) -> Vec<RangeCandidate> {
-        let typical = self.typical_run_time(state, service);
+        let typical = self.typical_work_time(now, state, service);
         let live = state.targets().iter().filter(|target| target.service == *service);
         let mut candidates: Vec<RangeCandidate> = live
             .map(|target| RangeCandidate {
@@ -117,7 +116,7 @@
                     }
                     TargetPhase::Serving => HolderStanding::Serving,
                 },
-                speed: self.speed(&target.holder(), typical),
+                speed: self.speed(now, target, typical),
             })
             .collect();
         let gone = state.departed().iter().filter(|departed| departed.record.service == *service);
@@ -136,16 +135,28 @@
         candidates
     }
 
-    fn typical_run_time(&self, state: &FleetState, service: &ServiceName) -> Option<f64> {
+    /// Time of one run at a target in seconds, without waiting there.
+    fn work_time(&self, now: Timestamp, target: &TargetRecord) -> Option<f64> {
+        let meter = self.meters.get(&target.holder())?;
+        meter.work_time(now, target.work_slots).filter(|time| *time > 0.0)
+    }
+
+    /// Median over the targets of a service.
+    fn typical_work_time(
+        &self,
+        now: Timestamp,
+        state: &FleetState,
+        service: &ServiceName,
+    ) -> Option<f64> {
         let targets = state.targets().iter().filter(|target| target.service == *service);
-        let times = targets.filter_map(|target| self.run_times.get(&target.holder()));
-        let mut times: Vec<f64> = times.copied().collect();
+        let mut times: Vec<f64> =
+            targets.filter_map(|target| self.work_time(now, target)).collect();
         times.sort_by(f64::total_cmp);
         times.get(times.len() / 2).copied()
     }
 
-    fn speed(&self, holder: &RangeHolder, typical: Option<f64>) -> f64 {
-        let own = self.run_times.get(holder).copied().filter(|time| *time > 0.0);
+    fn speed(&self, now: Timestamp, target: &TargetRecord, typical: Option<f64>) -> f64 {
+        let own = self.work_time(now, target);
         let speed = own.zip(typical).map_or(1.0, |(own, typical)| typical / own);
         speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
     }
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use gw_balance::HomeHosts;
-use gw_balance::TargetLine;
 use gw_fleet::ReplicaRecord;
+use gw_ranges::RangeHolder;
 use gw_ranges::TargetOrder;
 use gw_types::Timestamp;
 use gw_types::ZoneName;
@@ -21,7 +21,7 @@
 use crate::link::LinkHandle;
 use crate::link::LinkId;
 use crate::link::LinkMessage;
-use crate::link::RunTime;
+use crate::link::RunReport;
 use crate::link::ServiceHeat;
 use crate::targets::send_order;
 
@@ -56,8 +56,6 @@
     /// Since when another control host is known to be ahead.
     behind_since: Option<Timestamp>,
     quarantine_digest: u64,
-    /// When the leader was told of run times.
-    reported: Timestamp,
 }
 
 impl ControlLinks {
@@ -71,7 +69,6 @@
             stream: None,
             behind_since: None,
             quarantine_digest: 0,
-            reported: Timestamp::ZERO,
         };
         links.dial(&[]);
         let mut reports = tokio::time::interval(REPORT_INTERVAL);
@@ -266,22 +263,19 @@
             clock: now.as_nanos(),
             applied: self.host.applied.get(),
             heat: Vec::new(),
-            run_times: Vec::new(),
+            runs: Vec::new(),
             crashes: Vec::new(),
         };
         for link in &self.links {
             let report = if Some(link.link.id) == leader {
                 let heat = self.take_heat();
-                let run_times = self.run_times(now);
-                EntryReport { heat, run_times, crashes: crashes.clone(), ..plain.clone() }
+                let runs = self.take_runs();
+                EntryReport { heat, runs, crashes: crashes.clone(), ..plain.clone() }
             } else {
                 plain.clone()
             };
             link.link.send(&LinkMessage::Report(report));
         }
-        if leader.is_some() {
-            self.reported = now;
-        }
     }
 
     fn take_heat(&self) -> Vec<ServiceHeat> {
@@ -295,17 +289,14 @@
         reports
     }
 
-    fn run_times(&self, now: Timestamp) -> Vec<RunTime> {
-        let pool = self.host.pool.borrow();
-        let is_new = |line: &&TargetLine| line.failures() == 0 && line.last_end() >= self.reported;
-        let lines = pool.lines().iter().filter(is_new);
-        let timed = lines.filter_map(|line| Some((line, line.run_time(now)?)));
-        timed
-            .map(|(line, seconds)| RunTime {
-                holder: line.record.holder(),
-                milliseconds: (seconds * 1_000.0) as f32,
-            })
-            .collect()
+    fn take_runs(&self) -> Vec<RunReport> {
+        let runs = self.host.pool.borrow_mut().take_runs();
+        let report = |(holder, runs, total): (RangeHolder, u32, Duration)| RunReport {
+            holder,
+            runs,
+            milliseconds: u32::try_from(total.as_millis()).unwrap_or(u32::MAX),
+        };
+        runs.into_iter().map(report).collect()
     }
 }
 
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -59,11 +59,13 @@
     pub(crate) counts: Vec<(u16, u32)>,
 }
 
-/// Average time of a run at a target.
+/// Runs that a target answered since the last report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct RunTime {
+pub(crate) struct RunReport {
     pub(crate) holder: RangeHolder,
-    pub(crate) milliseconds: f32,
+    pub(crate) runs: u32,
+    /// Time to answer of all of them together, in milliseconds.
+    pub(crate) milliseconds: u32,
 }
 
 /// What an entry host has seen since its last report.
@@ -75,7 +77,7 @@
     pub(crate) applied: u64,
     pub(crate) heat: Vec<ServiceHeat>,
     /// Targets that answered.
-    pub(crate) run_times: Vec<RunTime>,
+    pub(crate) runs: Vec<RunReport>,
     /// Requests that broke connections, when something about them is new.
     pub(crate) crashes: Vec<QuarantineEntry>,
 }
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -15,7 +15,7 @@
 pub(crate) use link_message::HeadMessage;
 pub(crate) use link_message::HostKind;
 pub(crate) use link_message::LinkMessage;
-pub(crate) use link_message::RunTime;
+pub(crate) use link_message::RunReport;
 pub(crate) use link_message::ServiceHeat;
 pub(crate) use link_task::LinkEvent;
 pub(crate) use link_task::LinkId;
--- a/crates/gw-ranges/src/heat_map.rs
+++ b/crates/gw-ranges/src/heat_map.rs
@@ -76,6 +76,26 @@
         sum / self.weight() + f64::from(range.key_count()) * BASE_HEAT
     }
 
+    /// The key of `range` with the most heat.
+    pub fn hottest_key(&self, range: KeyRange) -> u16 {
+        let (first, last) = (usize::from(range.first), usize::from(range.last));
+        let mut best = (range.first, f32::MIN);
+        for block in first / BLOCK_KEYS..=last / BLOCK_KEYS {
+            // No key has more heat than its block.
+            if self.blocks[block] <= best.1 {
+                continue;
+            }
+            let start = first.max(block * BLOCK_KEYS);
+            let end = last.min(block * BLOCK_KEYS + BLOCK_KEYS - 1);
+            for key in start..=end {
+                if self.keys[key] > best.1 {
+                    best = (key as u16, self.keys[key]);
+                }
+            }
+        }
+        best.0
+    }
+
     /// The longest part at the start of `range` with at most the heat `limit`; `None` if already
     /// the first key has more.
     pub fn start_within(&self, range: KeyRange, limit: f64) -> Option<KeyRange> {
--- a/crates/gw-ranges/src/lib.rs
+++ b/crates/gw-ranges/src/lib.rs
@@ -18,6 +18,7 @@
 mod range_plan;
 mod range_table;
 mod target_order;
+mod work_meter;
 
 pub use granter_options::GranterOptions;
 pub use heat_map::HeatMap;
@@ -35,3 +36,4 @@
 pub use target_order::OrderKind;
 pub use target_order::OrderOutcome;
 pub use target_order::TargetOrder;
+pub use work_meter::WorkMeter;
--- a/crates/gw-ranges/src/range_plan.rs
+++ b/crates/gw-ranges/src/range_plan.rs
@@ -15,6 +15,9 @@
 const MOVES_AT_ONCE: usize = 6;
 /// How much more than the wanted heat a whole range may have, to spare a cut.
 const OVERSHOOT: f64 = 1.2;
+/// Load of the next holder of a hot key, as a share of the present one's, up to which the key
+/// moves. Speeds are known to about a tenth, so that two fast targets do not pass it back and forth.
+const HOT_KEY_GAIN: f64 = 0.75;
 /// Smallest part of the average load that is worth a move.
 const LEAST_GAIN: f64 = 0.1;
 
@@ -136,6 +139,17 @@
         (loads[most.0].candidate.speed, loads[least.0].candidate.speed);
     // The amount after which both have the same load.
     let wanted = (most.1 - least.1) * giver_speed * taker_speed / (giver_speed + taker_speed);
+    if let Some((held, _)) = movable.first()
+        && let Some(to) = faster_target(held.range, most.0, average, heat, loads)
+    {
+        let key = heat.hottest_key(held.range);
+        let key = KeyRange { first: key, last: key };
+        loads[most.0].load -= heat.heat_of(key) / giver_speed;
+        loads[to].load += heat.heat_of(key) / loads[to].candidate.speed;
+        let to = loads[to].candidate.holder.clone();
+        moves.push(RangeTransfer { range: key, to, fence: held.fence });
+        return;
+    }
     let parts = movable.iter().filter_map(|(held, total)| {
         let part = part_of(held.range, *total, wanted, heat, may_split)?;
         Some((held.fence, part, heat.heat_of(part)))
@@ -150,6 +164,27 @@
     moves.push(RangeTransfer { range: part, to, fence });
 }
 
+/// The target that is to have the hottest key of `range`, if that alone is too much for its holder
+/// and much less for the other. What else that target has goes elsewhere afterwards.
+fn faster_target(
+    range: KeyRange,
+    giver: usize,
+    average: f64,
+    heat: &HeatMap,
+    loads: &[TargetLoad<'_>],
+) -> Option<usize> {
+    let key = heat.hottest_key(range);
+    let key_heat = heat.heat_of(KeyRange { first: key, last: key });
+    let own = key_heat / loads[giver].candidate.speed;
+    if own < average * RELIEF_FACTOR {
+        return None;
+    }
+    let load_there = |index: usize| key_heat / loads[index].candidate.speed;
+    let fitting = (0..loads.len()).filter(|&index| load_there(index) <= own * HOT_KEY_GAIN);
+    let total = |index: usize| load_there(index) + loads[index].load;
+    fitting.min_by(|&a, &b| total(a).total_cmp(&total(b)))
+}
+
 /// The part of `range` whose heat comes closest to `wanted`. A single key with more than that stays
 /// where it is: its neighbours go, from whichever side has more.
 fn part_of(
--- /dev/null
+++ b/crates/gw-ranges/src/work_meter.rs
@@ -0,0 +1,60 @@
+use std::time::Duration;
+
+use gw_types::Timestamp;
+
+/// Time in which the weight of old runs halves. Long enough that a few odd runs move no keys, short
+/// enough that a target that turns slow is relieved within seconds.
+const HALF_LIFE: Duration = Duration::from_secs(3);
+/// Weight of runs from which a time is worked out; with fewer, chance decides.
+const LEAST_RUNS: f64 = 4.0;
+/// Halvings of the interval in which the time is searched.
+const SEARCH_STEPS: u32 = 24;
+
+/// Runs of one target, as callers' hosts see them together.
+///
+/// An answer takes longer than the work when other requests wait at the target. What the target
+/// needs for one run follows from the time to answer and the rate of answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorkMeter {
+    /// Time to answer of recent runs in seconds, the older the less.
+    seconds: f64,
+    /// Number of recent runs, the older the less.
+    runs: f64,
+    noted: Timestamp,
+}
+
+impl WorkMeter {
+    /// Adds `runs` runs that took `total` together.
+    pub fn note(&mut self, now: Timestamp, runs: u32, total: Duration) {
+        let weight = self.weight(now);
+        self.seconds = self.seconds * weight + total.as_secs_f64();
+        self.runs = self.runs * weight + f64::from(runs);
+        self.noted = now;
+    }
+
+    fn weight(&self, now: Timestamp) -> f64 {
+        (-now.since(self.noted).as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    /// Time in seconds that the target works on one run, with `slots` runs at the same time; `None`
+    /// if too little is known.
+    pub fn work_time(&self, now: Timestamp, slots: u16) -> Option<f64> {
+        let runs = self.runs * self.weight(now);
+        if runs < LEAST_RUNS {
+            return None;
+        }
+        let answer_time = self.seconds / self.runs;
+        let slots = f64::from(slots.max(1));
+        let rate = runs * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64();
+        // With the share `busy` of its slots at work, a run of time w is answered after about
+        // w / (1 - busy ^ slots), which grows with w.
+        let (mut low, mut high) = (0.0, answer_time.min(slots / rate));
+        for _ in 0..SEARCH_STEPS {
+            let work = (low + high) / 2.0;
+            let busy = rate * work / slots;
+            let is_below = work / (1.0 - busy.powf(slots)) < answer_time;
+            (low, high) = if is_below { (work, high) } else { (low, work) };
+        }
+        Some(low)
+    }
+}
--- a/crates/gw-ranges/tests/hot_keys.rs
+++ b/crates/gw-ranges/tests/hot_keys.rs
@@ -128,6 +128,69 @@
     }
 }
 
+struct HotKeyCase {
+    name: &'static str,
+    /// Share of the requests for the key; the rest is spread over all keys.
+    hot_share: f64,
+    speeds: &'static [f64],
+    /// Least speed of the target that has the key in the end.
+    least_speed: f64,
+    /// Whether the key stays with its first holder.
+    stays: bool,
+}
+
+/// Guards against a key with more requests than its holder can run that stays on a slow target: the
+/// key cannot be divided, so the fastest target has to take it, and nothing else.
+#[test]
+fn a_hot_key_goes_to_a_fast_target() {
+    let mixed = &[0.6, 0.6, 0.6, 0.6, 1.4, 1.4, 1.4, 1.4, 1.4, 1.4, 1.4, 1.4, 1.4];
+    let even = &[1.0; TARGETS];
+    let cases = [
+        HotKeyCase {
+            name: "two fifths of the requests for a key of a slow target",
+            hot_share: 0.4,
+            speeds: mixed,
+            least_speed: 1.4,
+            stays: false,
+        },
+        HotKeyCase {
+            name: "targets of the same speed",
+            hot_share: 0.4,
+            speeds: even,
+            least_speed: 1.0,
+            stays: true,
+        },
+    ];
+    for case in cases {
+        let speeds = case.speeds.iter().enumerate();
+        let candidates: Vec<_> = speeds.map(|(index, speed)| candidate(index, *speed)).collect();
+        let mut table = RangeTable::default();
+        let mut fence = 0;
+        let cold = HeatMap::new(Timestamp::from_millis(1_000));
+        let moves = plan_moves(&table, &candidates, &cold, |_| true);
+        apply(&mut table, &moves, &mut fence);
+        let slow = &candidates[2].holder;
+        let held = table.assignments().iter().find(|held| held.holder.as_ref() == Some(slow));
+        let hot = held.expect("a range of the target").range.first + 100;
+        let hot = KeyRange { first: hot, last: hot };
+        let load =
+            LoadCase { name: "", hot_share: case.hot_share, hot, speeds: case.speeds, most: 0.0 };
+        let heat = heat_of(&load);
+        for _ in 0..PLANS {
+            let moves = plan_moves(&table, &candidates, &heat, |_| true);
+            apply(&mut table, &moves, &mut fence);
+        }
+        let holder = table.find(hot.first).holder.clone();
+        let taker = candidates.iter().find(|candidate| Some(&candidate.holder) == holder.as_ref());
+        let taker = taker.expect("a holder");
+        assert!(taker.speed >= case.least_speed, "{}: {taker:?}", case.name);
+        assert_eq!(taker.holder == *slow, case.stays, "{}: {taker:?}", case.name);
+        let own = table.assignments().iter().filter(|held| held.holder == holder);
+        let rest: f64 = own.map(|held| heat.heat_of(held.range)).sum::<f64>() - heat.heat_of(hot);
+        assert!(rest <= 0.1 * heat.heat_of(hot), "{}: {rest} beside the key", case.name);
+    }
+}
+
 /// Guards against heat that stays when the hot keys change.
 #[test]
 fn old_heat_fades() {
--- a/crates/gw-ranges/tests/range_granter.rs
+++ b/crates/gw-ranges/tests/range_granter.rs
@@ -228,7 +228,7 @@
         bench.granter = RangeGranter::new(service, GranterOptions::default(), bench.now);
         bench.run(case.within, done);
         let grants = bench.sent.iter().filter(|order| order.kind != OrderKind::Release);
-        let last = grants.last().map(|order| order.holder.target.as_str());
+        let last = grants.map(|order| order.holder.target.as_str()).next_back();
         assert_eq!(last, Some(case.holder), "{}: last grant", case.name);
         assert_eq!(bench.holder_name(), case.holder, "{}: table", case.name);
     }
