feat(gw-balance): hosts send a holder of hot keys only what it can run

Change: the leader knows the requests for each key range and what its holder can run; it names the overloaded holders, and every host lets the same part of its requests go there. The others are refused at once; urgent ones go first.

--- a/crates/gw-gateway/src/control/link_keeper.rs
+++ b/crates/gw-gateway/src/control/link_keeper.rs
@@ -1,6 +1,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use gw_fleet::FleetState;
+use gw_ranges::HolderShare;
 use gw_types::HostName;
 use gw_types::Timestamp;
 use gw_types::ZoneName;
@@ -16,6 +18,7 @@
 use crate::link::LinkEvent;
 use crate::link::LinkHandle;
 use crate::link::LinkMessage;
+use crate::link::ShareReport;
 
 /// A connection to another host.
 pub(crate) struct PeerLink {
@@ -184,6 +187,7 @@
     let log = host.log.borrow();
     let replicas = log.state().replicas();
     let crashes = host.quarantine.borrow().entries(now);
+    let shares = if is_leader { share_reports(host, now, log.state()) } else { Vec::new() };
     let mut links = host.links.borrow_mut();
     let entry_hosts = connected_entry_hosts(&links);
     for link in links.iter_mut().filter(|link| link.is_entry() && is_meant(link)) {
@@ -200,6 +204,7 @@
             is_current,
             is_leader,
             host_count: u32::try_from(entry_hosts.len()).unwrap_or(u32::MAX),
+            shares: shares.clone(),
             details: is_new.then(|| details.clone()),
         };
         if link.link.send(&LinkMessage::Head(head)) && is_new {
@@ -208,6 +213,15 @@
     }
 }
 
+fn share_reports(host: &ControlHost, now: Timestamp, state: &FleetState) -> Vec<ShareReport> {
+    let shares = host.ranges.borrow().overloaded(now, state, &host.watch.borrow());
+    let report = |share: HolderShare| ShareReport {
+        holder: share.holder,
+        permille: (share.share * 1_000.0) as u16,
+    };
+    shares.into_iter().map(report).collect()
+}
+
 /// Whether the receiver of `told` learns nothing from `details`. Ages of crashes do not count.
 fn says_the_same(told: &HeadDetails, details: &HeadDetails) -> bool {
     let crashes = |details: &HeadDetails| -> Vec<_> {
--- a/crates/gw-gateway/src/control/range_keeper.rs
+++ b/crates/gw-gateway/src/control/range_keeper.rs
@@ -5,10 +5,12 @@
 use gw_ranges::GranterAction;
 use gw_ranges::GranterOptions;
 use gw_ranges::HeatMap;
+use gw_ranges::HolderShare;
 use gw_ranges::OrderOutcome;
 use gw_ranges::RangeGranter;
 use gw_ranges::RangeTable;
 use gw_ranges::TargetOrder;
+use gw_ranges::overloaded_holders;
 use gw_types::ServiceName;
 use gw_types::Timestamp;
 
@@ -88,6 +90,26 @@
         (orders, commands)
     }
 
+    /// Holders that are asked for more than they can run, sorted by holder.
+    pub(crate) fn overloaded(
+        &self,
+        now: Timestamp,
+        state: &FleetState,
+        watch: &TargetWatch,
+    ) -> Vec<HolderShare> {
+        let tables = self.services.iter().filter_map(|kept| {
+            let table = state.table(kept.granter.service())?;
+            Some((table, &kept.heat))
+        });
+        let mut shares: Vec<HolderShare> = tables
+            .flat_map(|(table, heat)| {
+                overloaded_holders(table, heat, |holder| watch.capacity(now, state, holder))
+            })
+            .collect();
+        shares.sort_by(|a, b| a.holder.cmp(&b.holder));
+        shares
+    }
+
     fn add_service(&mut self, now: Timestamp, service: &ServiceName) {
         let found = self.services.binary_search_by(|kept| kept.granter.service().cmp(service));
         if let Err(position) = found {
--- a/crates/gw-gateway/src/control/target_watch.rs
+++ b/crates/gw-gateway/src/control/target_watch.rs
@@ -144,6 +144,17 @@
         meter.work_time(now).filter(|time| *time > 0.0)
     }
 
+    /// Runs a second that a holder can do, if known.
+    pub(crate) fn capacity(
+        &self,
+        now: Timestamp,
+        state: &FleetState,
+        holder: &RangeHolder,
+    ) -> Option<f64> {
+        let target = state.target(&holder.target).filter(|target| target.run == holder.run)?;
+        Some(f64::from(target.work_slots.max(1)) / self.work_time(now, target)?)
+    }
+
     /// Median over the targets of a service.
     fn typical_work_time(
         &self,
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -4,6 +4,7 @@
 
 use gw_balance::HomeHosts;
 use gw_fleet::ReplicaRecord;
+use gw_ranges::HolderShare;
 use gw_ranges::RangeHolder;
 use gw_ranges::TargetOrder;
 use gw_types::Timestamp;
@@ -23,12 +24,15 @@
 use crate::link::LinkMessage;
 use crate::link::RunReport;
 use crate::link::ServiceHeat;
+use crate::link::ShareReport;
 use crate::targets::send_order;
 
 /// Time between two reports to control hosts.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// Age of its last message at which a control host is not counted on.
 const HEAD_AGE: Duration = Duration::from_millis(1_000);
+/// Age at which the leader's word on overloaded holders no longer counts: keys move within a second.
+const SHARES_AGE: Duration = Duration::from_millis(1_500);
 /// How far the own state may lag behind what another control host has before it is asked.
 const LAG_LIMIT: Duration = Duration::from_millis(120);
 /// Events of connections that wait to be handled.
@@ -56,6 +60,8 @@
     /// Since when another control host is known to be ahead.
     behind_since: Option<Timestamp>,
     quarantine_digest: u64,
+    /// When the leader told last which holders are overloaded.
+    shares_at: Timestamp,
 }
 
 impl ControlLinks {
@@ -69,6 +75,7 @@
             stream: None,
             behind_since: None,
             quarantine_digest: 0,
+            shares_at: Timestamp::ZERO,
         };
         links.dial(&[]);
         let mut reports = tokio::time::interval(REPORT_INTERVAL);
@@ -160,6 +167,15 @@
             self.host.host_count.set(host_count);
             self.host.pool.borrow_mut().set_host_count(host_count);
         }
+        if head.is_leader {
+            let share = |report: &ShareReport| HolderShare {
+                holder: report.holder.clone(),
+                share: f64::from(report.permille) / 1_000.0,
+            };
+            let shares = head.shares.iter().map(share).collect();
+            self.host.gate.borrow_mut().follow(shares, rand::random());
+            self.shares_at = self.host.now();
+        }
         if let Some(details) = details.filter(|_| head.is_current) {
             let homes = HomeHosts::new(details.zone_hosts.clone());
             let is_new = *self.host.homes.borrow() != homes;
@@ -242,6 +258,9 @@
         self.choose_stream();
         self.note_progress();
         self.report();
+        if self.host.now().since(self.shares_at) > SHARES_AGE {
+            self.host.gate.borrow_mut().follow(Vec::new(), 0.0);
+        }
     }
 
     fn report(&mut self) {
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gw_balance::HolderGate;
 use gw_balance::HomeHosts;
 use gw_balance::TargetPool;
 use gw_balance::WaitingLine;
@@ -57,6 +58,8 @@
     pub(crate) current_at: Cell<Timestamp>,
     pub(crate) pool: RefCell<TargetPool>,
     pub(crate) line: RefCell<WaitingLine>,
+    /// Overloaded holders of keys, as the leader sees them.
+    pub(crate) gate: RefCell<HolderGate>,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<Ticket>>>,
     pub(crate) connections: TargetConnections,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
@@ -93,6 +96,7 @@
             current_at: Cell::new(Timestamp::ZERO),
             pool: RefCell::new(pool),
             line: RefCell::default(),
+            gate: RefCell::default(),
             waiters: RefCell::default(),
             connections: TargetConnections::default(),
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE)),
--- a/crates/gw-gateway/src/entry/request_flow.rs
+++ b/crates/gw-gateway/src/entry/request_flow.rs
@@ -41,6 +41,9 @@
 const STARTUP_RETRY: Duration = Duration::from_millis(500);
 /// When a caller may try again after all attempts were refused by targets.
 const REFUSAL_RETRY: Duration = Duration::from_millis(200);
+/// When a caller may try again whose key has more requests than its holder can run: keys move to
+/// other targets within a second or two.
+const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
 /// When a caller may send a request again that crashes targets: when the targets are back.
 const QUARANTINE_RETRY: Duration = Duration::from_secs(10);
 /// Targets that a request may crash before it is refused everywhere.
@@ -183,6 +186,9 @@
 ) -> (Response<Full<Bytes>>, &'static str) {
     let plan = &request.plan;
     host.note_request(&plan.service, plan.key);
+    if !passes_gate(host, plan) {
+        return refuse(host, request, OwnAnswer::not_run("holder_overloaded", OVERLOAD_RETRY));
+    }
     let mut tried: Vec<TargetName> = Vec::new();
     let (mut reached, mut unsent) = (0, 0);
     // What is to be said when no further attempt is made.
@@ -243,6 +249,22 @@
     }
 }
 
+/// Whether the holder of the request's key can run it, as far as the leader knows of all requests
+/// for that holder.
+fn passes_gate(host: &EntryHost, plan: &RequestPlan) -> bool {
+    let Some(key) = plan.key else { return true };
+    let state = host.state.borrow();
+    let Some(table) = state.table(&plan.service) else { return true };
+    let Some(holder) = &table.find(key).holder else { return true };
+    if host.gate.borrow().share_of(holder).is_none() {
+        return true;
+    }
+    let config = state.config();
+    let least_urgent = config.and_then(|config| config.least_urgent(&plan.service));
+    let is_urgent = least_urgent.is_some_and(|least| plan.priority < least);
+    host.gate.borrow_mut().pass(holder, is_urgent)
+}
+
 fn refuse(
     host: &EntryHost,
     request: &ReadRequest,
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -92,6 +92,14 @@
     pub(crate) crashes: Vec<QuarantineEntry>,
 }
 
+/// The part of the requests for a holder's keys that it can run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ShareReport {
+    pub(crate) holder: RangeHolder,
+    /// Of a thousand requests.
+    pub(crate) permille: u16,
+}
+
 /// What a control host tells entry hosts regularly. Kept small: it is sent to each of them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct HeadMessage {
@@ -103,6 +111,8 @@
     pub(crate) is_leader: bool,
     /// Entry hosts of all zones that are connected.
     pub(crate) host_count: u32,
+    /// From the leader: holders that are asked for more than they can run, sorted by holder.
+    pub(crate) shares: Vec<ShareReport>,
     /// `None` if nothing has changed on this connection.
     pub(crate) details: Option<HeadDetails>,
 }
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) use link_message::LinkMessage;
 pub(crate) use link_message::RunReport;
 pub(crate) use link_message::ServiceHeat;
+pub(crate) use link_message::ShareReport;
 pub(crate) use link_task::LinkEvent;
 pub(crate) use link_task::LinkId;
 pub(crate) use link_task::accept_links;
--- a/crates/gw-ranges/src/heat_map.rs
+++ b/crates/gw-ranges/src/heat_map.rs
@@ -76,6 +76,11 @@
         sum / self.weight() + f64::from(range.key_count()) * BASE_HEAT
     }
 
+    /// Requests a second for the keys of `range`.
+    pub fn rate_of(&self, range: KeyRange) -> f64 {
+        self.heat_of(range) * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+    }
+
     /// The key of `range` with the most heat.
     pub fn hottest_key(&self, range: KeyRange) -> u16 {
         let (first, last) = (usize::from(range.first), usize::from(range.last));
--- a/crates/gw-ranges/src/lib.rs
+++ b/crates/gw-ranges/src/lib.rs
@@ -11,6 +11,7 @@
 mod granter_options;
 mod heat_map;
 mod key_range;
+mod overload_plan;
 mod range_command;
 mod range_granter;
 mod range_holder;
@@ -23,6 +24,8 @@
 pub use granter_options::GranterOptions;
 pub use heat_map::HeatMap;
 pub use key_range::KeyRange;
+pub use overload_plan::HolderShare;
+pub use overload_plan::overloaded_holders;
 pub use range_command::RangeCommand;
 pub use range_command::RangeTransfer;
 pub use range_granter::GranterAction;
--- /dev/null
+++ b/crates/gw-ranges/tests/overload.rs
@@ -0,0 +1,76 @@
+//! Which holders are asked for more than they can run.
+
+use std::time::Duration;
+
+use gw_ranges::HeatMap;
+use gw_ranges::KeyRange;
+use gw_ranges::RangeHolder;
+use gw_ranges::RangeTable;
+use gw_ranges::RangeTransfer;
+use gw_ranges::overloaded_holders;
+use gw_types::TargetName;
+use gw_types::Timestamp;
+
+struct OverloadCase {
+    name: &'static str,
+    /// Requests a second for the hot key; the other keys of its holder have two.
+    hot_rate: f64,
+    /// Runs a second that each holder can do.
+    capacity: Option<f64>,
+    /// The holder's share, from and to; `None` if it is not overloaded.
+    share: Option<(f64, f64)>,
+}
+
+fn holder(name: &str) -> RangeHolder {
+    RangeHolder { target: TargetName::new(name).expect("a valid name"), run: 1 }
+}
+
+/// Pattern: one key with more requests than its holder can run, sent by many hosts that do not see
+/// each other. Guards against all of them being answered late, and against refusals without need.
+#[test]
+fn a_hot_key_beyond_its_holder_is_shared_out() {
+    let cases = [
+        OverloadCase { name: "calm", hot_rate: 10.0, capacity: Some(20.0), share: None },
+        OverloadCase {
+            name: "twice what it can run",
+            hot_rate: 38.0,
+            capacity: Some(20.0),
+            share: Some((0.40, 0.45)),
+        },
+        OverloadCase {
+            name: "just full",
+            hot_rate: 18.0,
+            capacity: Some(20.0),
+            share: Some((0.80, 0.90)),
+        },
+        OverloadCase { name: "speed not known", hot_rate: 38.0, capacity: None, share: None },
+    ];
+    for case in cases {
+        let mut table = RangeTable::default();
+        for (first, last, name, fence) in [(0, 999, "t1", 1), (1_000, u16::MAX, "t2", 2)] {
+            let range = KeyRange { first, last };
+            table.assign(&RangeTransfer { range, to: holder(name), fence: 0 }, fence);
+        }
+        let start = Timestamp::from_millis(1_000);
+        let mut heat = HeatMap::new(start);
+        let (mut hot, mut rest) = (0.0_f64, 0.0_f64);
+        for step in 0..100_u32 {
+            heat.advance(start + Duration::from_millis(200) * step);
+            hot += case.hot_rate * 0.2;
+            rest += 2.0 * 0.2;
+            heat.add(7, hot as u32);
+            heat.add(500, rest as u32);
+            (hot, rest) = (hot.fract(), rest.fract());
+        }
+        let shares = overloaded_holders(&table, &heat, |_| case.capacity);
+        let found = shares.iter().find(|share| share.holder == holder("t1"));
+        match (case.share, found) {
+            (None, None) => {}
+            (Some((least, most)), Some(found)) => {
+                assert!((least..=most).contains(&found.share), "{}: {found:?}", case.name);
+            }
+            (_, found) => panic!("{}: {found:?}", case.name),
+        }
+        assert!(shares.iter().all(|share| share.holder == holder("t1")), "{}", case.name);
+    }
+}
--- a/crates/gw-routing/src/routing_config.rs
+++ b/crates/gw-routing/src/routing_config.rs
@@ -88,6 +88,13 @@
         found.ok().map(|index| &self.services[index])
     }
 
+    /// The priority of the least urgent routes to `service`.
+    pub fn least_urgent(&self, service: &ServiceName) -> Option<u8> {
+        let routes = self.hosts.iter().flat_map(|rules| &rules.routes);
+        let to_service = routes.filter(|rule| rule.shares.iter().any(|s| s.service == *service));
+        to_service.map(|rule| rule.priority).max()
+    }
+
     /// The route with the longest prefix that begins `path`. `host` may carry a port.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&RouteRule> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
