--- a/crates/gw-ranges/src/range_plan.rs
+++ b/crates/gw-ranges/src/range_plan.rs
@@ -11,8 +11,11 @@
 /// Ranges of one target beyond which no further ones are cut off for balance. Each range costs a
 /// call for each renewal.
 const RANGES_PER_TARGET: usize = 10;
-/// Ranges that move at the same time for balance.
+/// Ranges that move at the same time for balance, at least.
 const MOVES_AT_ONCE: usize = 6;
+/// Targets for each further range that may move at the same time. Hundreds of targets would be
+/// balanced only after minutes otherwise.
+const TARGETS_PER_MOVE: usize = 8;
 /// How much more than the wanted heat a whole range may have, to spare a cut.
 const OVERSHOOT: f64 = 1.2;
 /// Load of the next holder of a hot key, as a share of the present one's, up to which the key
@@ -64,8 +67,9 @@
         spread(held, heat, &mut loads, &mut moves);
     }
     let moving = table.assignments().iter().filter(|held| held.successor.is_some()).count();
+    let moves_at_once = MOVES_AT_ONCE.max(candidates.len() / TARGETS_PER_MOVE);
     if moves.is_empty() {
-        for _ in moving..MOVES_AT_ONCE {
+        for _ in moving..moves_at_once {
             balance(table, heat, &mut loads, &mut moves, &may_move);
         }
     }
--- a/crates/gw-ranges/tests/hot_keys.rs
+++ b/crates/gw-ranges/tests/hot_keys.rs
@@ -128,6 +128,32 @@
     }
 }
 
+/// Pattern: hundreds of targets, and requests that are ten times as frequent for a tenth of the keys,
+/// in neighbouring stretches. Guards against a fleet that is balanced only after minutes.
+#[test]
+fn hundreds_of_targets_are_balanced_within_seconds() {
+    const MANY: usize = 270;
+    const SECONDS: usize = 3;
+    let candidates: Vec<_> = (0..MANY).map(|index| candidate(index, 1.0)).collect();
+    let mut table = RangeTable::default();
+    let mut fence = 0;
+    let cold = HeatMap::new(Timestamp::from_millis(1_000));
+    let moves = plan_moves(&table, &candidates, &cold, |_| true);
+    apply(&mut table, &moves, &mut fence);
+    let mut heat = HeatMap::new(Timestamp::from_millis(1_000));
+    for key in (0..u16::MAX).step_by(8) {
+        let is_hot = (key / 656) % 10 == 3;
+        heat.add(key, if is_hot { 10 } else { 1 });
+    }
+    for _ in 0..SECONDS * 4 {
+        let moves = plan_moves(&table, &candidates, &heat, |_| true);
+        apply(&mut table, &moves, &mut fence);
+    }
+    let loads = loads(&table, &candidates, &heat);
+    let busy = loads.iter().filter(|load| **load > 1.5).count();
+    assert!(busy <= MANY / 20, "{busy} targets have more than 1.5 averages after {SECONDS} s");
+}
+
 struct HotKeyCase {
     name: &'static str,
     /// Share of the requests for the key; the rest is spread over all keys.
