fix(gw-balance): each host ranks the targets of other hosts differently

Change: targets at home on other hosts are avoided by 1.2 to 1.6, by a hash of host and target; those of other zones by 1.6 to 2.0. Test: hosts_spread_what_their_own_targets_cannot_take, failing before (28 requests at one target).

--- a/crates/gw-balance/src/target_line.rs
+++ b/crates/gw-balance/src/target_line.rs
@@ -31,6 +31,9 @@
     pub is_near: bool,
     /// Whether this host prefers it over the other targets of its zone.
     pub is_home: bool,
+    /// How much this host avoids the target as long as others are as good: 1 for targets at home,
+    /// more for others, and another figure on each host.
+    pub(crate) reserve: f64,
     /// Requests of this host that it has and that have not ended.
     pub in_flight: u32,
     /// When this host learnt that the target drains.
@@ -55,6 +58,7 @@
             record,
             is_near: false,
             is_home: false,
+            reserve: 1.0,
             in_flight: 0,
             draining_since: None,
             run_time: None,
@@ -105,9 +109,7 @@
         let turns = (f64::from(self.in_flight + 1) / slots).max(1.0);
         let success = (1.0 - self.failure_share).max(0.1);
         let away = if self.is_near { 0.0 } else { far_penalty };
-        // Other hosts send to targets that are not at home here.
-        let foreign = if self.is_home { 1.0 } else { 1.2 };
-        run_time * turns * foreign / (success * success) + away
+        run_time * turns * self.reserve / (success * success) + away
     }
 
     /// Follows a newer announcement of the same run.
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -3,6 +3,7 @@
 use gw_fleet::TargetRecord;
 use gw_ranges::RangeHolder;
 use gw_types::HostName;
+use gw_types::KeyHash;
 use gw_types::ServiceName;
 use gw_types::TargetName;
 use gw_types::Timestamp;
@@ -21,6 +22,13 @@
 const HOME_EXTRA: u32 = 1;
 /// Requests that this host sends at once to a target of another host's home.
 const FOREIGN_LIMIT: u32 = 1;
+/// By how much a target at home is preferred over others, at least: other hosts send to those.
+const FOREIGN_RESERVE: f64 = 1.2;
+/// The same for targets of other zones: the zone's own are preferred as far as they differ here.
+const FAR_RESERVE: f64 = FOREIGN_RESERVE + FOREIGN_SPREAD;
+/// By how much more, differently on each host. Hosts that rank the targets of others alike all send
+/// to the same one when their own are busy.
+const FOREIGN_SPREAD: f64 = 0.4;
 /// Requests that a target surely queues beyond its slots. What it cannot queue might never be
 /// answered.
 const SURE_QUEUE: u32 = 4;
@@ -40,6 +48,12 @@
     Unknown,
 }
 
+/// By how much more than others `host` avoids a target that is at home on other hosts.
+fn spread(host: &HostName, target: &TargetName) -> f64 {
+    let hash = KeyHash::of(format!("{host} {target}").as_bytes()).0;
+    FOREIGN_SPREAD * (hash as f64 / u64::MAX as f64)
+}
+
 /// The targets of all services as one entry host sees them.
 #[derive(Clone, Debug)]
 pub struct TargetPool {
@@ -93,6 +107,11 @@
             let peers: Vec<TargetName> = peers.map(|(_, name)| name.clone()).collect();
             line.is_home =
                 line.is_near && self.homes.is_home(&self.host, &line.record.name, &peers);
+            line.reserve = match (line.is_home, line.is_near) {
+                (true, _) => 1.0,
+                (false, true) => FOREIGN_RESERVE + spread(&self.host, &line.record.name),
+                (false, false) => FAR_RESERVE + spread(&self.host, &line.record.name),
+            };
         }
     }
 
--- a/crates/gw-balance/tests/target_pool.rs
+++ b/crates/gw-balance/tests/target_pool.rs
@@ -156,3 +156,30 @@
     }
     assert_eq!(counts, [3, 1, 1]);
 }
+
+/// Pattern: a burst at many hosts at once, whose own targets are busy. Guards against all of them
+/// sending what is left over to the same target, which cannot queue it.
+#[test]
+fn hosts_spread_what_their_own_targets_cannot_take() {
+    const HOSTS: usize = 27;
+    const TARGETS: usize = 38;
+    /// What a target runs and surely queues.
+    const MOST: usize = 6;
+    let names: Vec<String> = (0..HOSTS).map(|index| format!("h{index:02}")).collect();
+    let hosts: Vec<&str> = names.iter().map(String::as_str).collect();
+    let records: Vec<_> = (0..TARGETS).map(|index| record(&format!("t{index:02}"), "a")).collect();
+    let mut sent = vec![0; TARGETS];
+    for name in &hosts {
+        let mut pool = pool(name, &hosts, &records);
+        // One request more than the host's own targets take.
+        let own = pool.lines().iter().filter(|line| line.is_home).count() * 2 + 1;
+        for _ in 0..own {
+            let holder = pool.pick(NOW, &service(), &[]).expect("a target").record.holder();
+            pool.note_start(&holder);
+            let index = records.iter().position(|record| record.holder() == holder);
+            sent[index.expect("a known target")] += 1;
+        }
+    }
+    let most = sent.iter().copied().max().unwrap_or_default();
+    assert!(most <= MOST, "{most} requests at one target: {sent:?}");
+}
