--- a/crates/gw-balance/src/waiting_line.rs
+++ b/crates/gw-balance/src/waiting_line.rs
@@ -1,6 +1,5 @@
 use gw_types::ServiceName;
 use gw_types::TargetName;
-use gw_types::Timestamp;
 
 /// A request that waits for room at a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,8 +14,6 @@
     pub tried: Vec<TargetName>,
     /// Rank under load; 0 is the most urgent.
     pub priority: u8,
-    /// When it gives up.
-    pub patience_ends: Timestamp,
 }
 
 /// Requests that wait for room, the most urgent first, then by arrival.
--- a/crates/gw-balance/tests/waiting_line.rs
+++ b/crates/gw-balance/tests/waiting_line.rs
@@ -3,7 +3,6 @@
 use gw_balance::WaitingLine;
 use gw_balance::WaitingRequest;
 use gw_types::ServiceName;
-use gw_types::Timestamp;
 
 fn request(number: u64, service: &str, priority: u8, key: Option<u16>) -> WaitingRequest {
     WaitingRequest {
@@ -12,7 +11,6 @@
         key,
         tried: Vec::new(),
         priority,
-        patience_ends: Timestamp::MAX,
     }
 }
 
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -13,6 +13,7 @@
 use gw_daemon::control::JournalWriter;
 use gw_dispatch::CrashQuarantine;
 use gw_dispatch::QuarantineOptions;
+use gw_ranges::RangeHolder;
 use gw_types::Clock;
 use gw_types::HostId;
 use gw_types::TargetName;
@@ -102,6 +103,8 @@
     /// Targets heard on a follower, for the leader.
     pub(crate) heard: RefCell<BTreeSet<TargetName>>,
     pub(crate) ranges: RefCell<RangeKeeper>,
+    /// Holders that entry hosts were told last are overloaded.
+    pub(crate) overloaded: RefCell<Vec<RangeHolder>>,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
     /// When this leader noticed each other replica first.
     pub(crate) noticed: RefCell<BTreeMap<HostId, Timestamp>>,
@@ -135,6 +138,7 @@
             watch: RefCell::default(),
             heard: RefCell::default(),
             ranges: RefCell::new(RangeKeeper::new(settings.longest_hold)),
+            overloaded: RefCell::default(),
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE)),
             noticed: RefCell::default(),
             calls: RefCell::default(),
--- a/crates/gw-gateway/src/control/link_keeper.rs
+++ b/crates/gw-gateway/src/control/link_keeper.rs
@@ -3,6 +3,7 @@
 
 use gw_fleet::FleetState;
 use gw_ranges::HolderShare;
+use gw_ranges::RangeHolder;
 use gw_types::HostName;
 use gw_types::Timestamp;
 use gw_types::ZoneName;
@@ -215,6 +216,8 @@
 
 fn share_reports(host: &ControlHost, now: Timestamp, state: &FleetState) -> Vec<ShareReport> {
     let shares = host.ranges.borrow().overloaded(now, state, &host.watch.borrow());
+    log_overload(&host.overloaded.borrow(), &shares);
+    *host.overloaded.borrow_mut() = shares.iter().map(|share| share.holder.clone()).collect();
     let report = |share: HolderShare| ShareReport {
         holder: share.holder,
         permille: (share.share * 1_000.0) as u16,
@@ -222,6 +225,17 @@
     shares.into_iter().map(report).collect()
 }
 
+/// Logs which holders are overloaded now and were not before, and the other way round.
+fn log_overload(before: &[RangeHolder], shares: &[HolderShare]) {
+    for share in shares.iter().filter(|share| !before.contains(&share.holder)) {
+        log::info!("event=holder_overloaded target={} share={:.2}", share.holder, share.share);
+    }
+    let is_named = |holder: &RangeHolder| shares.iter().any(|share| share.holder == *holder);
+    for holder in before.iter().filter(|holder| !is_named(holder)) {
+        log::info!("event=holder_relieved target={holder}");
+    }
+}
+
 /// Whether the receiver of `told` learns nothing from `details`. Ages of crashes do not count.
 fn says_the_same(told: &HeadDetails, details: &HeadDetails) -> bool {
     let crashes = |details: &HeadDetails| -> Vec<_> {
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -125,7 +125,6 @@
         key: plan.key,
         tried: tried.to_vec(),
         priority: plan.priority,
-        patience_ends: now + patience,
     });
     host.metrics.waiting.set(host.line.borrow().len() as i64);
     let guard = WaitGuard { host, number: plan.number };
--- a/crates/gw-gateway/src/entry/request_flow.rs
+++ b/crates/gw-gateway/src/entry/request_flow.rs
@@ -68,8 +68,6 @@
     rule: RouteRule,
     plan: RequestPlan,
     fingerprint: RequestFingerprint,
-    /// When the caller no longer waits.
-    patience_ends: Instant,
 }
 
 /// What becomes of a request after one attempt.
@@ -164,8 +162,7 @@
         objective: started + rule.objective,
         deadline: started + longest.saturating_sub(RETURN_TIME),
     };
-    let patience_ends = started + patience;
-    Ok(ReadRequest { number, started, head, body, facts, rule, plan, fingerprint, patience_ends })
+    Ok(ReadRequest { number, started, head, body, facts, rule, plan, fingerprint })
 }
 
 /// A host that may have missed a configuration cannot say that a route does not exist.
@@ -299,13 +296,16 @@
     };
     let pool = host.pool.borrow();
     let line = held.holder.as_ref().and_then(|holder| pool.line(&holder.target));
+    let gate = host.gate.borrow();
+    let share = held.holder.as_ref().and_then(|holder| gate.share_of(holder));
     format!(
-        "holder={} next={} fence={} in_flight={} failures={}",
+        "holder={} next={} fence={} in_flight={} failures={} share={}",
         name(&held.holder),
         name(&held.successor),
         held.fence,
         line.map_or(0, |line| line.in_flight),
         line.map_or(0, |line| line.failures()),
+        share.map_or_else(|| "all".to_owned(), |share| format!("{share:.2}")),
     )
 }
 
@@ -316,7 +316,7 @@
 /// Sends a request to the target of `ticket`.
 async fn attempt(host: &Rc<EntryHost>, request: &ReadRequest, ticket: Ticket) -> AttemptEnd {
     let now = Instant::now();
-    let until = request.patience_ends.min(request.plan.deadline);
+    let until = request.plan.deadline;
     let remaining = until.saturating_duration_since(now);
     if remaining.is_zero() {
         ticket.finish(RunEnd::Cancelled);
--- a/crates/gw-gateway/src/settings.rs
+++ b/crates/gw-gateway/src/settings.rs
@@ -58,8 +58,6 @@
     pub retry_floor: f64,
     /// Longest time for which a target may be granted keys.
     pub longest_hold: Duration,
-    /// How long a leaving target goes on serving.
-    pub drain_time: Duration,
     /// Time from the request to stop until the process is killed.
     pub grace_time: Duration,
 }
--- a/crates/gw-ranges/src/range_granter.rs
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -82,12 +82,6 @@
         &self.service
     }
 
-    /// Whether every range is granted and none is moving.
-    pub fn is_settled(&self) -> bool {
-        !self.leases.is_empty()
-            && self.leases.iter().all(|lease| lease.is_granted && lease.stage == MoveStage::Held)
-    }
-
     /// Orders in a row to `holder` that failed.
     pub fn failures_of(&self, holder: &RangeHolder) -> u32 {
         let held = self.leases.iter().filter(|lease| lease.holder == *holder);
