--- a/crates/gw-balance/src/lib.rs
+++ b/crates/gw-balance/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! Every entry host sends to targets directly. [`TargetPool`] holds what this host has learnt of
 //! each target from its own requests: how long they take, how many are in flight, how many fail.
-//! [`HolderGate`] lets only a part of the requests go to holders of keys that
-//! are asked for more than they can run. [`WaitingLine`] holds requests for which no target has room yet, most urgent first. Everything
-//! here is pure.
+//! [`HolderGate`] lets only a part of the requests go to holders of keys that are asked for more than
+//! they can run. [`WaitingLine`] holds requests for which no target has room yet, most urgent first.
+//! Everything here is pure.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod answered_runs;
 mod holder_gate;
 mod home_hosts;
 mod run_end;
@@ -15,6 +16,7 @@
 mod target_pool;
 mod waiting_line;
 
+pub use answered_runs::AnsweredRuns;
 pub use holder_gate::HolderGate;
 pub use home_hosts::HomeHosts;
 pub use run_end::RunEnd;
--- a/crates/gw-balance/src/target_line.rs
+++ b/crates/gw-balance/src/target_line.rs
@@ -4,6 +4,7 @@
 use gw_fleet::TargetRecord;
 use gw_types::Timestamp;
 
+use crate::AnsweredRuns;
 use crate::RunEnd;
 
 /// Weight of the newest run in the moving averages.
@@ -48,8 +49,10 @@
     /// Whether another target has its address. This run never serves again.
     has_ended: bool,
     last_end: Timestamp,
-    /// Runs that it answered without failure and that were not taken yet, and their time together.
-    untaken: (u32, Duration),
+    /// Runs that it answered without failure and that were not taken yet.
+    untaken_runs: u32,
+    /// Their time to answer together; see [`AnsweredRuns::total`].
+    untaken_total: Duration,
 }
 
 impl TargetLine {
@@ -67,7 +70,8 @@
             paused_until: Timestamp::ZERO,
             has_ended: false,
             last_end: now,
-            untaken: (0, Duration::ZERO),
+            untaken_runs: 0,
+            untaken_total: Duration::ZERO,
         }
     }
 
@@ -159,13 +163,14 @@
 
     fn add_untaken(&mut self, elapsed: Duration) {
         let usual = self.run_time.map_or(elapsed, Duration::from_secs_f64);
-        let (runs, total) = self.untaken;
-        self.untaken = (runs + 1, total + elapsed.min(usual * STRAGGLER_FACTOR));
+        self.untaken_runs += 1;
+        self.untaken_total += elapsed.min(usual * STRAGGLER_FACTOR);
     }
 
-    pub(crate) fn take_runs(&mut self) -> Option<(u32, Duration)> {
-        let taken = std::mem::take(&mut self.untaken);
-        (taken.0 > 0).then_some(taken)
+    pub(crate) fn take_runs(&mut self) -> Option<AnsweredRuns> {
+        let runs = std::mem::take(&mut self.untaken_runs);
+        let total = std::mem::take(&mut self.untaken_total);
+        (runs > 0).then(|| AnsweredRuns { holder: self.record.holder(), runs, total })
     }
 
     fn note_run_time(&mut self, seconds: f64) {
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -9,6 +9,7 @@
 use gw_types::Timestamp;
 use gw_types::ZoneName;
 
+use crate::AnsweredRuns;
 use crate::HomeHosts;
 use crate::RunEnd;
 use crate::TargetLine;
@@ -48,12 +49,6 @@
     Unknown,
 }
 
-/// By how much more than others `host` avoids a target that is at home on other hosts.
-fn spread(host: &HostName, target: &TargetName) -> f64 {
-    let hash = KeyHash::of(format!("{host} {target}").as_bytes()).0;
-    FOREIGN_SPREAD * (hash as f64 / u64::MAX as f64)
-}
-
 /// The targets of all services as one entry host sees them.
 #[derive(Clone, Debug)]
 pub struct TargetPool {
@@ -211,16 +206,9 @@
         }
     }
 
-    /// Takes the runs that targets answered since they were last taken: holder, number and time to
-    /// answer of all of them together.
-    pub fn take_runs(&mut self) -> Vec<(RangeHolder, u32, Duration)> {
-        let lines = self.lines.iter_mut();
-        lines
-            .filter_map(|line| {
-                let (runs, total) = line.take_runs()?;
-                Some((line.record.holder(), runs, total))
-            })
-            .collect()
+    /// Takes the runs that targets answered since they were last taken.
+    pub fn take_runs(&mut self) -> Vec<AnsweredRuns> {
+        self.lines.iter_mut().filter_map(TargetLine::take_runs).collect()
     }
 
     fn line_mut(&mut self, holder: &RangeHolder) -> Option<&mut TargetLine> {
@@ -229,3 +217,9 @@
         line.filter(|line| line.record.run == holder.run)
     }
 }
+
+/// By how much more than others `host` avoids a target that is at home on other hosts.
+fn spread(host: &HostName, target: &TargetName) -> f64 {
+    let hash = KeyHash::of(format!("{host} {target}").as_bytes()).0;
+    FOREIGN_SPREAD * (hash as f64 / u64::MAX as f64)
+}
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -2,10 +2,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use gw_balance::AnsweredRuns;
 use gw_balance::HomeHosts;
 use gw_fleet::ReplicaRecord;
 use gw_ranges::HolderShare;
-use gw_ranges::RangeHolder;
 use gw_ranges::TargetOrder;
 use gw_types::Timestamp;
 use gw_types::ZoneName;
@@ -309,13 +309,13 @@
     }
 
     fn take_runs(&self) -> Vec<RunReport> {
-        let runs = self.host.pool.borrow_mut().take_runs();
-        let report = |(holder, runs, total): (RangeHolder, u32, Duration)| RunReport {
-            holder,
-            runs,
-            milliseconds: u32::try_from(total.as_millis()).unwrap_or(u32::MAX),
+        let answered = self.host.pool.borrow_mut().take_runs();
+        let report = |answered: AnsweredRuns| RunReport {
+            holder: answered.holder,
+            runs: answered.runs,
+            milliseconds: u32::try_from(answered.total.as_millis()).unwrap_or(u32::MAX),
         };
-        runs.into_iter().map(report).collect()
+        answered.into_iter().map(report).collect()
     }
 }
 
--- a/crates/gw-ranges/tests/hot_keys.rs
+++ b/crates/gw-ranges/tests/hot_keys.rs
@@ -71,6 +71,16 @@
     });
 }
 
+/// All keys divided over the candidates before any request was seen, and the last fencing token.
+fn first_table(candidates: &[RangeCandidate]) -> (RangeTable, u64) {
+    let mut table = RangeTable::default();
+    let mut fence = 0;
+    let cold = HeatMap::new(Timestamp::from_millis(1_000));
+    let moves = plan_moves(&table, candidates, &cold, |_| true);
+    apply(&mut table, &moves, &mut fence);
+    (table, fence)
+}
+
 /// Guards against targets that stay overloaded while others are idle: hot neighbouring keys, one
 /// very hot key, targets of different speed.
 #[test]
@@ -112,11 +122,7 @@
     for case in cases {
         let speeds = case.speeds.iter().enumerate();
         let candidates: Vec<_> = speeds.map(|(index, speed)| candidate(index, *speed)).collect();
-        let mut table = RangeTable::default();
-        let mut fence = 0;
-        let cold = HeatMap::new(Timestamp::from_millis(1_000));
-        let moves = plan_moves(&table, &candidates, &cold, |_| true);
-        apply(&mut table, &moves, &mut fence);
+        let (mut table, mut fence) = first_table(&candidates);
         let heat = heat_of(&case);
         for _ in 0..PLANS {
             let moves = plan_moves(&table, &candidates, &heat, |_| true);
@@ -135,11 +141,7 @@
     const MANY: usize = 270;
     const SECONDS: usize = 3;
     let candidates: Vec<_> = (0..MANY).map(|index| candidate(index, 1.0)).collect();
-    let mut table = RangeTable::default();
-    let mut fence = 0;
-    let cold = HeatMap::new(Timestamp::from_millis(1_000));
-    let moves = plan_moves(&table, &candidates, &cold, |_| true);
-    apply(&mut table, &moves, &mut fence);
+    let (mut table, mut fence) = first_table(&candidates);
     let mut heat = HeatMap::new(Timestamp::from_millis(1_000));
     for key in (0..u16::MAX).step_by(8) {
         let is_hot = (key / 656) % 10 == 3;
@@ -190,11 +192,7 @@
     for case in cases {
         let speeds = case.speeds.iter().enumerate();
         let candidates: Vec<_> = speeds.map(|(index, speed)| candidate(index, *speed)).collect();
-        let mut table = RangeTable::default();
-        let mut fence = 0;
-        let cold = HeatMap::new(Timestamp::from_millis(1_000));
-        let moves = plan_moves(&table, &candidates, &cold, |_| true);
-        apply(&mut table, &moves, &mut fence);
+        let (mut table, mut fence) = first_table(&candidates);
         let slow = &candidates[2].holder;
         let held = table.assignments().iter().find(|held| held.holder.as_ref() == Some(slow));
         let hot = held.expect("a range of the target").range.first + 100;
