--- a/crates/gw-ranges/tests/range_schedules.rs
+++ b/crates/gw-ranges/tests/range_schedules.rs
@@ -84,6 +84,7 @@
 }
 
 struct World {
+    options: GranterOptions,
     random: Random,
     now: Timestamp,
     table: RangeTable,
@@ -108,18 +109,19 @@
 }
 
 impl World {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, options: GranterOptions) -> Self {
         let now = Timestamp::from_millis(100_000);
         let fresh = FakeTarget {
             keys: vec![(0, Timestamp::ZERO); 65_536 / KEY_STEP],
             ..Default::default()
         };
         Self {
+            options,
             random: Random(seed),
             now,
             table: RangeTable::default(),
             last_fence: 0,
-            granter: RangeGranter::new(service(), GranterOptions::default(), now),
+            granter: RangeGranter::new(service(), options, now),
             heat: HeatMap::new(now),
             targets: vec![fresh; TARGETS],
             deliveries: Vec::new(),
@@ -172,7 +174,7 @@
             self.heat.add(hot, 60);
         }
         if self.random.below(10_000) < case.new_leader * 100 {
-            self.granter = RangeGranter::new(service(), GranterOptions::default(), self.now);
+            self.granter = RangeGranter::new(service(), self.options, self.now);
         }
         if self.random.below(10_000) < case.changes * 100 {
             let index = self.random.below(TARGETS as u64) as usize;
@@ -288,6 +290,19 @@
         })
     }
 
+    /// Runs a schedule until two targets hold one key, or to its end.
+    fn run_until_shared(&mut self, case: &ScheduleCase) -> Option<(usize, Vec<usize>)> {
+        let end = self.now + LENGTH;
+        while self.now < end {
+            self.run_tick(case);
+            let shared = self.shared_key();
+            if shared.is_some() {
+                return shared;
+            }
+        }
+        None
+    }
+
     /// Marks the keys that a target holds.
     fn mark_held(&self, served: &mut [bool]) {
         for (key, served) in served.iter_mut().enumerate() {
@@ -336,13 +351,9 @@
     ];
     for case in cases {
         for seed in case.seeds.clone() {
-            let mut world = World::new(seed);
-            let end = world.now + LENGTH;
-            while world.now < end {
-                world.run_tick(&case);
-                let shared = world.shared_key();
-                assert_eq!(shared, None, "{}, seed {seed}, {}", case.name, world.now);
-            }
+            let mut world = World::new(seed, GranterOptions::default());
+            let shared = world.run_until_shared(&case);
+            assert_eq!(shared, None, "{}, seed {seed}, {}", case.name, world.now);
             // All targets are well again: every key is served again, but for the time of a move.
             for target in &mut world.targets {
                 (target.standing, target.is_lost) = (None, false);
@@ -363,6 +374,52 @@
     }
 }
 
+struct BrokenCase {
+    name: &'static str,
+    options: GranterOptions,
+    schedule: ScheduleCase,
+}
+
+/// Guards against schedules that find nothing: granters that wait too short are caught.
+#[test]
+fn granters_that_wait_too_short_are_caught() {
+    let lost_answers = ScheduleCase {
+        name: "orders without answer",
+        unanswered: 30,
+        new_leader: 0,
+        changes: 3,
+        commit_ms: 30,
+        seeds: 1..60,
+    };
+    let new_leaders = ScheduleCase {
+        name: "new leaders",
+        unanswered: 10,
+        new_leader: 2,
+        changes: 4,
+        commit_ms: 100,
+        seeds: 1..60,
+    };
+    let options = GranterOptions::default();
+    let cases = [
+        BrokenCase {
+            name: "holds count for a fifth less, answers are lost",
+            options: GranterOptions { clock_drift: -0.2, ..options },
+            schedule: lost_answers,
+        },
+        BrokenCase {
+            name: "holds count for half, leaders change",
+            options: GranterOptions { clock_drift: -0.5, ..options },
+            schedule: new_leaders,
+        },
+    ];
+    for case in cases {
+        let mut seeds = case.schedule.seeds.clone();
+        let caught = seeds
+            .any(|seed| World::new(seed, case.options).run_until_shared(&case.schedule).is_some());
+        assert!(caught, "{}: no key with two holders in any schedule", case.name);
+    }
+}
+
 /// Guards against a range that is given away as released although a part of it, whose move was
 /// announced later, was not.
 #[test]
