fix(gw-ranges): keys of a leaving target that cannot be reached move as soon as its hold is over

The new leader took their moves back and granted them their keys again; each grant that could not be sent counted as given, 5.2 s long, and the doubt of its first grants held back the next plan until three such grants had failed. Change: a grant of which no byte was sent gives no time; a new token for the same holder gives none either; a doubt holds back a move for 1 s at most, and only until a first order fails; a release under way does not delay the end of the hold. Ruled out: too many orders at once (they cannot be sent faster: each waits for a connection). Tests: moves_of_a_lost_leader_are_taken_back with a holder that cannot be reached, failing before; the schedules of range_schedules have orders that cannot be sent.

--- a/crates/gw-ranges/src/range_granter.rs
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -25,6 +25,8 @@
 /// Time until a silent holder is tried again under a new fencing token. Longer than it takes to
 /// plan and to commit.
 const SILENT_RETRY: Duration = Duration::from_millis(1_200);
+/// Time in which a holder that answers settles a grant in doubt: a commit and a grant.
+const DOUBT_TIME: Duration = Duration::from_secs(1);
 /// Orders in a row that must fail before a silent holder is given up.
 const GIVE_UP_FAILURES: u32 = 3;
 
@@ -144,15 +146,22 @@
                 .iter()
                 .filter(|lease| lease.range.overlaps(held.range) && lease.holder == *holder);
             let doubt = earlier.clone().map(|lease| lease.unanswered_until).max();
+            // Nothing was granted under the new token yet.
+            let is_quiet = earlier.clone().all(|lease| lease.order.is_none());
+            let known_hold = earlier.clone().map(|lease| lease.held_until).max();
+            let known_hold = known_hold.filter(|_| is_quiet);
             let failures = earlier.map(|lease| lease.failures).max().unwrap_or(0);
             let mut lease = same.clone().next().cloned().unwrap_or_else(|| RangeLease {
                 range: held.range,
                 holder: holder.clone(),
                 fence: held.fence,
-                held_until: now + longest_hold,
+                held_until: known_hold.unwrap_or(now + longest_hold),
+                held_before: now,
+                since: now,
                 unanswered_until: if is_fresh { now + longest_hold } else { doubt.unwrap_or(now) },
                 next_order: now,
                 order: None,
+                is_releasing: false,
                 failures,
                 is_granted: false,
                 needs_fence: is_fresh,
@@ -163,7 +172,9 @@
             });
             for part in same.skip(1) {
                 lease.held_until = lease.held_until.max(part.held_until);
+                lease.held_before = lease.held_before.max(part.held_until);
                 lease.unanswered_until = lease.unanswered_until.max(part.unanswered_until);
+                lease.is_releasing &= part.is_releasing || part.order.is_none();
                 lease.order = lease.order.or(part.order);
             }
             if !lease.range.covers(held.range) && lease.stage != MoveStage::Held {
@@ -227,7 +238,7 @@
                 OrderKind::Grant { hold, handover: lease.handover.clone() }
             }
             MoveStage::Settling { until } => {
-                if now < *until || lease.order.is_some() {
+                if now < *until || (lease.order.is_some() && !lease.is_releasing) {
                     return;
                 }
                 // Also a run that has ended is released: a later run at its address may have taken
@@ -249,7 +260,9 @@
         let number = self.next_number;
         self.next_number += 1;
         lease.order = Some(number);
+        lease.is_releasing = kind == OrderKind::Release;
         if matches!(kind, OrderKind::Grant { .. }) {
+            lease.held_before = lease.held_until;
             lease.held_until = lease.held_until.max(now + self.options.longest_hold());
         }
         actions.push(GranterAction::Order(TargetOrder {
@@ -338,10 +351,13 @@
                 && lease.fence == order.fence
         });
         for lease in parts {
+            let is_grant = matches!(order.kind, OrderKind::Grant { .. });
             if lease.order == Some(order.number) {
                 lease.order = None;
+                if is_grant && *outcome == OrderOutcome::NotSent {
+                    lease.held_until = lease.held_before;
+                }
             }
-            let is_grant = matches!(order.kind, OrderKind::Grant { .. });
             lease.failures = match outcome {
                 OrderOutcome::Done { .. } | OrderOutcome::Refused => 0,
                 OrderOutcome::Unanswered | OrderOutcome::NotSent => lease.failures + 1,
@@ -349,6 +365,7 @@
             match outcome {
                 OrderOutcome::Done { .. } if is_grant => {
                     lease.held_until = lease.held_until.max(now + longest_hold);
+                    lease.held_before = lease.held_until;
                     lease.is_granted = true;
                     lease.handover = None;
                     if !lease.needs_fence {
@@ -365,6 +382,7 @@
                 }
                 OrderOutcome::Unanswered if is_grant => {
                     lease.held_until = lease.held_until.max(now + longest_hold);
+                    lease.held_before = lease.held_until;
                     lease.unanswered_until = lease.unanswered_until.max(now + longest_hold);
                     lease.needs_fence = true;
                     // A holder that stays silent is planned away before it is tried again.
@@ -390,7 +408,7 @@
         doubtful.any(|lease| {
             let standing = standing_of(&lease.holder, candidates);
             let answers = matches!(standing, HolderStanding::Serving | HolderStanding::Leaving);
-            answers && lease.failures < GIVE_UP_FAILURES
+            answers && lease.failures == 0 && now.since(lease.since) < DOUBT_TIME
         })
     }
 
--- a/crates/gw-ranges/src/range_lease.rs
+++ b/crates/gw-ranges/src/range_lease.rs
@@ -28,8 +28,13 @@
     pub(crate) range: KeyRange,
     pub(crate) holder: RangeHolder,
     pub(crate) fence: u64,
-    /// The holder may serve the keys up to then, unless it has released them. Never decreases.
+    /// The holder may serve the keys up to then, unless it has released them. Decreases only when a
+    /// grant turns out not to have been sent.
     pub(crate) held_until: Timestamp,
+    /// What `held_until` was before the grant that is under way.
+    pub(crate) held_before: Timestamp,
+    /// When this assignment was learnt.
+    pub(crate) since: Timestamp,
     /// A grant whose answer is missing may be carried out late, even after a release, and holds up
     /// to then. Over once the holder has taken a grant with a higher fencing token, since it then
     /// refuses the late one.
@@ -38,6 +43,8 @@
     pub(crate) next_order: Timestamp,
     /// The order that is under way.
     pub(crate) order: Option<u64>,
+    /// Whether that order is a release, which gives nobody any time.
+    pub(crate) is_releasing: bool,
     /// Orders in a row that failed.
     pub(crate) failures: u32,
     /// Whether a grant was answered.
--- a/crates/gw-ranges/tests/range_granter.rs
+++ b/crates/gw-ranges/tests/range_granter.rs
@@ -38,6 +38,10 @@
     heat: HeatMap,
     candidates: Vec<RangeCandidate>,
     sent: Vec<TargetOrder>,
+    /// Time until an order that cannot be sent is given up.
+    unsent_time: Duration,
+    /// Orders that cannot be sent, and when they are given up.
+    unsent: Vec<(Timestamp, TargetOrder)>,
     proposed: Vec<(Timestamp, RangeCommand)>,
 }
 
@@ -53,6 +57,8 @@
             heat: HeatMap::new(now),
             candidates,
             sent: Vec::new(),
+            unsent_time: Duration::ZERO,
+            unsent: Vec::new(),
             proposed: Vec::new(),
         }
     }
@@ -67,6 +73,10 @@
             for (_, command) in due.collect::<Vec<_>>() {
                 self.commit(command);
             }
+            let given_up = self.unsent.extract_if(.., |(at, _)| *at <= now);
+            for (_, order) in given_up.collect::<Vec<_>>() {
+                self.granter.order_done(now, &order, &OrderOutcome::NotSent);
+            }
             for action in
                 self.granter.step(self.now, &self.table, &self.candidates, &self.heat, 100)
             {
@@ -74,7 +84,11 @@
                     GranterAction::Order(order) => {
                         let outcome = answer(&order);
                         self.sent.push(order.clone());
-                        self.granter.order_done(self.now, &order, &outcome);
+                        if outcome == OrderOutcome::NotSent {
+                            self.unsent.push((now + self.unsent_time, order));
+                        } else {
+                            self.granter.order_done(now, &order, &outcome);
+                        }
                     }
                     GranterAction::Propose(command) => self.proposed.push((self.now, command)),
                 }
@@ -187,6 +201,8 @@
     name: &'static str,
     /// What is believed of the holder once the new leader has started.
     standing: HolderStanding,
+    /// What the holder answers to the new leader.
+    answer: fn(&TargetOrder) -> OrderOutcome,
     /// Who is to have the keys.
     holder: &'static str,
     within: Duration,
@@ -196,19 +212,29 @@
 /// they moved: their holder has released them already.
 #[test]
 fn moves_of_a_lost_leader_are_taken_back() {
+    let options = GranterOptions::default();
     let cases = [
         TakeoverCase {
             name: "the holder stays",
             standing: HolderStanding::Serving,
+            answer: done,
             holder: "t1",
             within: Duration::from_millis(300),
         },
         TakeoverCase {
             name: "the holder leaves",
             standing: HolderStanding::Leaving,
+            answer: done,
             holder: "t2",
             within: Duration::from_secs(1),
         },
+        TakeoverCase {
+            name: "the holder leaves and cannot be reached",
+            standing: HolderStanding::Leaving,
+            answer: |_| OrderOutcome::NotSent,
+            holder: "t2",
+            within: options.longest_hold() + options.takeover_slack + Duration::from_millis(500),
+        },
     ];
     for case in cases {
         let mut bench = Bench::new(vec![candidate("t1", HolderStanding::Serving)]);
@@ -224,9 +250,15 @@
         bench.proposed.clear();
         bench.sent.clear();
         bench.candidates[0] = candidate("t1", case.standing);
+        // A connection that is not made, and one by way of another host.
+        bench.unsent_time = Duration::from_millis(1_650);
         let service = ServiceName::new("slips").expect("a valid name");
         bench.granter = RangeGranter::new(service, GranterOptions::default(), bench.now);
-        bench.run(case.within, done);
+        let answer = case.answer;
+        bench.run(case.within, |order| match order.holder.target.as_str() {
+            "t1" => answer(order),
+            _ => done(order),
+        });
         let grants = bench.sent.iter().filter(|order| order.kind != OrderKind::Release);
         let last = grants.map(|order| order.holder.target.as_str()).next_back();
         assert_eq!(last, Some(case.holder), "{}: last grant", case.name);
--- a/crates/gw-ranges/tests/range_schedules.rs
+++ b/crates/gw-ranges/tests/range_schedules.rs
@@ -60,6 +60,8 @@
     answered: Timestamp,
     is_answered: bool,
     is_applied: bool,
+    /// No byte of it was sent.
+    is_unsent: bool,
 }
 
 #[derive(Clone, Default)]
@@ -211,6 +213,7 @@
             OrderKind::Grant { .. } => self.random.millis(0, 100),
             OrderKind::Release => self.random.millis(0, 900),
         };
+        let is_unsent = lost && self.random.chance(50);
         let is_answered = !lost && !self.random.chance(case.unanswered);
         let late = self.random.millis(2_000, 12_000);
         let is_late = !is_answered && self.random.chance(50);
@@ -224,6 +227,7 @@
             answered,
             is_answered,
             is_applied: lost,
+            is_unsent,
         });
     }
 
@@ -242,6 +246,7 @@
         for delivery in done {
             let outcome = match delivery.is_answered {
                 true => OrderOutcome::Done { handover: None },
+                false if delivery.is_unsent => OrderOutcome::NotSent,
                 false => OrderOutcome::Unanswered,
             };
             self.granter.order_done(now, &delivery.order, &outcome);
