--- a/crates/gw-ranges/src/range_granter.rs
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -135,16 +135,13 @@
         let longest_hold = self.options.longest_hold() + slack;
         for held in table.assignments() {
             let Some(holder) = &held.holder else { continue };
-            let same = old.iter().filter(|lease| {
-                lease.range.overlaps(held.range)
-                    && lease.holder == *holder
-                    && lease.fence == held.fence
-            });
+            let overlapping = overlapping(&old, held.range);
+            let same = overlapping
+                .iter()
+                .filter(|lease| lease.holder == *holder && lease.fence == held.fence);
             // Doubts about earlier grants to the same holder, and its silence, outlive their
             // fencing token.
-            let earlier = old
-                .iter()
-                .filter(|lease| lease.range.overlaps(held.range) && lease.holder == *holder);
+            let earlier = overlapping.iter().filter(|lease| lease.holder == *holder);
             let doubt = earlier.clone().map(|lease| lease.unanswered_until).max();
             // Nothing was granted under the new token yet.
             let is_quiet = earlier.clone().all(|lease| lease.order.is_none());
@@ -209,7 +206,7 @@
         }
         let leases = &self.leases;
         self.handovers.retain(|kept| {
-            let mut over = leases.iter().filter(|lease| kept.range.overlaps(lease.range));
+            let mut over = overlapping(leases, kept.range).iter();
             over.any(|lease| lease.fence <= kept.fence || !lease.is_granted)
         });
     }
@@ -403,7 +400,7 @@
         transfer: &RangeTransfer,
         candidates: &[RangeCandidate],
     ) -> bool {
-        let leases = self.leases.iter().filter(|lease| lease.range.overlaps(transfer.range));
+        let leases = overlapping(&self.leases, transfer.range).iter();
         let mut doubtful = leases.filter(|lease| now < lease.unanswered_until);
         doubtful.any(|lease| {
             let standing = standing_of(&lease.holder, candidates);
@@ -434,8 +431,10 @@
         }
         let moves = plan_moves(table, &seen, heat, |held| {
             // Keys of a holder with a grant in doubt could not be served until the doubt is over.
-            let lease = self.leases.iter().find(|lease| lease.range == held.range);
-            lease.is_some_and(|lease| lease.is_granted && now >= lease.unanswered_until)
+            let lease = self.leases.binary_search_by(|lease| lease.range.cmp(&held.range));
+            lease
+                .map(|index| &self.leases[index])
+                .is_ok_and(|lease| lease.is_granted && now >= lease.unanswered_until)
         });
         let (first, later): (Vec<_>, Vec<_>) = moves
             .into_iter()
@@ -465,3 +464,10 @@
         None => HolderStanding::Silent,
     }
 }
+
+/// The leases for keys of `range`. `leases` are sorted by range and have no key in common.
+fn overlapping(leases: &[RangeLease], range: KeyRange) -> &[RangeLease] {
+    let first = leases.partition_point(|lease| lease.range.last < range.first);
+    let end = leases.partition_point(|lease| lease.range.first <= range.last);
+    &leases[first..end]
+}
--- a/crates/gw-ranges/src/range_plan.rs
+++ b/crates/gw-ranges/src/range_plan.rs
@@ -50,18 +50,14 @@
     if loads.is_empty() {
         return Vec::new();
     }
+    loads.sort_by(|a, b| a.candidate.holder.cmp(&b.candidate.holder));
     for held in table.assignments() {
-        let owner = held.successor.as_ref().or(held.holder.as_ref());
-        let found = loads.iter_mut().find(|load| Some(&load.candidate.holder) == owner);
-        if let Some(load) = found {
-            load.load += heat.heat_of(held.range) / load.candidate.speed;
+        if let Some(index) = owner_index(&loads, held) {
+            loads[index].load += heat.heat_of(held.range) / loads[index].candidate.speed;
         }
     }
     let mut moves = Vec::new();
-    let is_lost = |held: &&RangeAssignment| {
-        let owner = held.successor.as_ref().or(held.holder.as_ref());
-        !loads.iter().any(|load| Some(&load.candidate.holder) == owner)
-    };
+    let is_lost = |held: &&RangeAssignment| owner_index(&loads, held).is_none();
     let lost: Vec<&RangeAssignment> = table.assignments().iter().filter(is_lost).collect();
     for held in lost {
         spread(held, heat, &mut loads, &mut moves);
@@ -76,6 +72,12 @@
     moves
 }
 
+/// The serving target that holds the range, or is about to. `loads` are sorted by holder.
+fn owner_index(loads: &[TargetLoad<'_>], held: &RangeAssignment) -> Option<usize> {
+    let owner = held.successor.as_ref().or(held.holder.as_ref())?;
+    loads.binary_search_by(|load| load.candidate.holder.cmp(owner)).ok()
+}
+
 fn total_speed(loads: &[TargetLoad<'_>]) -> f64 {
     loads.iter().map(|load| load.candidate.speed).sum()
 }
