fix(gw-gateway): a host asks for the missing state once, not each 120 ms

Cause: a host that lacked entries asked again each 120 ms until they had come. On a link of 2 Mbit/s a complete state of 200 KB takes 0.8 s, so that seven copies piled up. A copy that takes more than 1.2 s never arrived: both ends counted whole frames only and closed the link as silent. A control host that lagged behind the asker sent a complete, older state. After a change that did not fit, the index was set to 0, so that such a state would have put an older configuration in force. Change: gw_fleet::StateFetch allows one request at a time and waits while data arrives; links count bytes in place of frames; an asker that is ahead gets an empty reply; gw_fleet::LearnedState keeps its index as a lower bound. Tests: restart over slow links in virtual time with the former asking as the broken variant (more copies than allowed); messages of lagging control hosts in a table.

--- a/crates/gw-fleet/src/lib.rs
+++ b/crates/gw-fleet/src/lib.rs
@@ -9,8 +9,10 @@
 mod departed_target;
 mod fleet_command;
 mod fleet_state;
+mod learned_state;
 mod replica_record;
 mod replica_view;
+mod state_fetch;
 mod stored_config;
 mod target_record;
 
@@ -20,9 +22,12 @@
 pub use fleet_command::FleetOutcome;
 pub use fleet_state::FleetState;
 pub use fleet_state::SnapshotError;
+pub use learned_state::LearnOutcome;
+pub use learned_state::LearnedState;
 pub use replica_record::ReplicaRecord;
 pub use replica_view::ReplicaView;
 pub use replica_view::lost_replica;
+pub use state_fetch::StateFetch;
 pub use stored_config::StoredConfig;
 pub use target_record::TargetPhase;
 pub use target_record::TargetRecord;
--- a/crates/gw-gateway/src/control/fleet_log.rs
+++ b/crates/gw-gateway/src/control/fleet_log.rs
@@ -66,7 +66,10 @@
     /// Returns the message that updates an entry host from index `after`: the commands since, or
     /// the whole state if they are no longer kept.
     pub(crate) fn since(&self, after: u64) -> LinkMessage {
-        if after < self.base || after > self.applied || after == 0 {
+        if after >= self.applied {
+            return LinkMessage::Updates { after, through: after, commands: Vec::new() };
+        }
+        if after < self.base || after == 0 {
             let state = Box::new(self.state.for_entry_hosts());
             return LinkMessage::Snapshot { index: self.applied, state };
         }
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -150,9 +150,7 @@
             }
             LinkMessage::Fetch { after, stream } => {
                 let log = host.log.borrow();
-                if log.applied() > 0 {
-                    link.send(&log.since(after));
-                }
+                link.send(&log.since(after));
                 let sent_through = log.applied();
                 update_link(host, &link, |known| {
                     known.is_streaming = stream;
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -149,7 +149,7 @@
     let Some(key) = params.key else {
         return queue.count_ahead(&params.service, params.priority) > 0;
     };
-    let state = host.state.borrow();
+    let state = host.state();
     let Some(table) = state.table(&params.service) else { return false };
     let range = table.find(key).range;
     let is_same = |other: Option<u16>| other.is_some_and(|other| range.contains(other));
@@ -170,7 +170,7 @@
         let target = pool.pick(now, service, tried)?;
         return Some((target.record.holder(), target.record.address));
     };
-    let state = host.state.borrow();
+    let state = host.state();
     let assignment = state.table(service)?.find(key);
     let holder = assignment.holder.as_ref().filter(|_| assignment.successor.is_none())?;
     if pool.holder_availability(now, holder) != HolderAvailability::Available {
@@ -203,7 +203,7 @@
             (ahead + 1.0) * response_time / capacity,
         ));
     };
-    let state = host.state.borrow();
+    let state = host.state();
     let assignment = state.table(&params.service).map(|table| table.find(key));
     let Some(assignment) = assignment.filter(|assignment| assignment.holder.is_some()) else {
         return WaitEstimate::Refused {
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -5,6 +5,7 @@
 use gw_balance::AnsweredRequests;
 use gw_balance::PreferredTargets;
 use gw_fleet::ReplicaRecord;
+use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
 use gw_ranges::TargetOrder;
 use gw_types::Timestamp;
@@ -60,6 +61,7 @@
     links: Vec<ControlLink>,
     /// Connection over which changes are streamed.
     stream: Option<LinkId>,
+    fetch: StateFetch<LinkId>,
     /// Since when another control host has been known to be ahead of this host's state.
     behind_since: Option<Timestamp>,
     quarantine_digest: u64,
@@ -76,6 +78,7 @@
             dialed: DialedPeers::new(events),
             links: Vec::new(),
             stream: None,
+            fetch: StateFetch::default(),
             behind_since: None,
             quarantine_digest: 0,
             shares_received_at: Timestamp::ZERO,
@@ -121,6 +124,7 @@
             }
             LinkEvent::Closed { id } => {
                 self.links.retain(|link| link.link.id != id);
+                self.fetch.finish(id);
                 if self.stream == Some(id) {
                     self.stream = None;
                     self.select_stream();
@@ -143,12 +147,14 @@
                 self.handle_head(link.id);
             }
             LinkMessage::Updates { after, through, commands } => {
+                self.fetch.finish(link.id);
                 if !self.host.apply_updates(after, through, &commands) {
-                    self.fetch(link, self.stream == Some(link.id));
+                    self.request_entries(link);
                 }
                 self.check_progress();
             }
             LinkMessage::Snapshot { index, state } => {
+                self.fetch.finish(link.id);
                 self.host.install_snapshot(index, *state);
                 self.check_progress();
             }
@@ -218,42 +224,67 @@
         if self.stream == Some(best.id) {
             return;
         }
+        if !self.may_fetch() {
+            return;
+        }
         let old = self.links.iter().find(|link| self.stream == Some(link.link.id));
         if let Some(old) = old {
-            self.fetch(&old.link, false);
+            // Ends the stream; the reply contains few entries, as the host has just followed it.
+            let after = self.host.learned.borrow().fetch_index();
+            old.link.send(&LinkMessage::Fetch { after, stream: false });
         }
         self.stream = Some(best.id);
-        self.fetch(&best, true);
+        self.request_entries(&best);
+    }
+
+    /// Whether no reply with missing entries is on its way.
+    fn may_fetch(&self) -> bool {
+        let last_byte = |id: LinkId| {
+            let link = self.links.iter().find(|link| link.link.id == id)?;
+            Some(link.link.last_byte.get())
+        };
+        self.fetch.may_start(self.host.now(), last_byte)
     }
 
-    fn fetch(&self, link: &LinkHandle, stream: bool) {
-        link.send(&LinkMessage::Fetch { after: self.host.applied.get(), stream });
+    /// Requests the entries after this host's state, unless a reply is already on its way.
+    fn request_entries(&mut self, link: &LinkHandle) {
+        if !self.may_fetch() {
+            return;
+        }
+        let after = self.host.learned.borrow().fetch_index();
+        let stream = self.stream == Some(link.id);
+        if link.send(&LinkMessage::Fetch { after, stream }) {
+            self.fetch.start(self.host.now(), link.id);
+        }
     }
 
     /// Compares this host's state with the log indices that control hosts announced, and requests
     /// missing entries if it lags for too long.
     fn check_progress(&mut self) {
         let now = self.host.now();
-        let applied = self.host.applied.get();
+        let learned = self.host.learned.borrow();
         let heads = self.links.iter().filter_map(|link| Some((link, link.head.as_ref()?)));
         let newest = heads.clone().max_by_key(|(_, head)| head.index);
         let is_caught_up = |(link, head): (&ControlLink, &HeadMessage)| {
-            Self::is_usable(link, now) && applied >= head.index && applied > 0
+            Self::is_usable(link, now) && learned.contains(head.index)
         };
         if !self.host.has_caught_up.get() && heads.clone().any(is_caught_up) {
-            log::info!("event=state_current index={applied}");
+            log::info!("event=state_current index={}", learned.applied());
             self.host.has_caught_up.set(true);
         }
         let Some((link, head)) = newest else { return };
-        if head.index <= applied {
+        if learned.contains(head.index) {
             self.behind_since = None;
             return;
         }
+        let applied = learned.applied();
+        drop(learned);
         let since = *self.behind_since.get_or_insert(now);
-        if now.since(since) > MAX_LAG {
+        if now.since(since) > MAX_LAG && self.may_fetch() {
             log::info!("event=state_behind applied={applied} known={}", head.index);
+            let link = link.link.clone();
             self.behind_since = Some(now);
-            self.fetch(&link.link, self.stream == Some(link.link.id));
+            self.request_entries(&link);
         }
     }
 
@@ -286,7 +317,7 @@
         }
         let base = EntryReport {
             clock: now.as_nanos(),
-            applied: self.host.applied.get(),
+            applied: self.host.applied(),
             heat: Vec::new(),
             runs: Vec::new(),
             crashes: Vec::new(),
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -1,4 +1,5 @@
 use std::cell::Cell;
+use std::cell::Ref;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -15,8 +16,9 @@
 use gw_dispatch::RequestFingerprint;
 use gw_dispatch::RetryBudget;
 use gw_fleet::FleetCommand;
-use gw_fleet::FleetOutcome;
 use gw_fleet::FleetState;
+use gw_fleet::LearnOutcome;
+use gw_fleet::LearnedState;
 use gw_ranges::RangeHolder;
 use gw_routing::RouteRule;
 use gw_routing::RoutingConfig;
@@ -49,9 +51,7 @@
     pub(crate) clock: BootClock,
     pub(crate) metrics: GatewayMetrics,
     /// The replicated state as far as this host has received it.
-    pub(crate) state: RefCell<FleetState>,
-    /// Log index of `state`; 0 until a first state has arrived, and after a failed update.
-    pub(crate) applied: Cell<u64>,
+    pub(crate) learned: RefCell<LearnedState>,
     /// Whether the state has once been as recent as that of a control host in contact with a
     /// majority.
     pub(crate) has_caught_up: Cell<bool>,
@@ -92,8 +92,7 @@
             adapter,
             clock: BootClock,
             metrics: GatewayMetrics::default(),
-            state: RefCell::default(),
-            applied: Cell::new(0),
+            learned: RefCell::default(),
             has_caught_up: Cell::new(false),
             last_contact: Cell::new(Timestamp::ZERO),
             pool: RefCell::new(pool),
@@ -126,29 +125,34 @@
 
     /// Returns the configuration in force.
     pub(crate) fn config(&self) -> Option<Arc<RoutingConfig>> {
-        self.state.borrow().config().cloned()
+        self.state().config().cloned()
     }
 
     /// Whether the load balancer should send callers to this host.
     pub(crate) fn is_ready(&self) -> bool {
-        self.has_caught_up.get()
-            && self.state.borrow().config().is_some()
-            && !self.is_stopping.get()
+        self.has_caught_up.get() && self.state().config().is_some() && !self.is_stopping.get()
+    }
+
+    /// Returns the replicated state.
+    pub(crate) fn state(&self) -> Ref<'_, FleetState> {
+        Ref::map(self.learned.borrow(), LearnedState::state)
+    }
+
+    /// Returns the log index of the replicated state.
+    pub(crate) fn applied(&self) -> u64 {
+        self.learned.borrow().applied()
     }
 
     /// Installs a complete state, unless the present one is as recent.
     pub(crate) fn install_snapshot(&self, index: u64, state: FleetState) {
-        if index <= self.applied.get() && self.applied.get() > 0 {
-            return;
-        }
         log::info!(
-            "event=state_installed index={index} config={} targets={}",
+            "event=state_received index={index} config={} targets={}",
             state.config_version(),
             state.targets().len(),
         );
-        *self.state.borrow_mut() = state;
-        self.applied.set(index);
-        self.refresh_from_state();
+        if self.learned.borrow_mut().install(index, state) == LearnOutcome::Advanced {
+            self.refresh_from_state();
+        }
     }
 
     /// Applies the commands after the present state, up to index `through`. Returns `false` if
@@ -159,43 +163,32 @@
         through: u64,
         commands: &[(u64, FleetCommand)],
     ) -> bool {
-        let applied = self.applied.get();
-        if applied < after {
-            return false;
-        }
-        if through <= applied {
-            return true;
-        }
-        for (_, command) in commands.iter().filter(|(index, _)| *index > applied) {
-            let before = self.state.borrow().config_version();
-            let outcome = self.state.borrow_mut().apply(command);
-            if matches!(command, FleetCommand::PatchConfig(_))
-                && outcome == FleetOutcome::Superseded
-            {
-                log::error!("event=config_change_unfit held={before}");
-                // Index 0 makes the next fetch return a complete state.
-                self.applied.set(0);
-                return false;
-            }
+        let mut version = self.state().config_version();
+        let inspect = |command: &FleetCommand, state: &FleetState| {
             log_command(command);
-            let version = self.state.borrow().config_version();
-            if version != before {
-                log::info!("event=config_in_force version={version} was={before}");
+            if state.config_version() != version {
+                log::info!(
+                    "event=config_in_force version={} was={version}",
+                    state.config_version()
+                );
+                version = state.config_version();
             }
+        };
+        let outcome = self.learned.borrow_mut().apply(after, through, commands, inspect);
+        if outcome == LearnOutcome::Advanced {
+            self.refresh_from_state();
         }
-        self.applied.set(through);
-        self.refresh_from_state();
-        true
+        outcome != LearnOutcome::Incomplete
     }
 
     /// Updates everything derived from the state: the target pool, metrics, pending moves, and
     /// queued requests.
     pub(crate) fn refresh_from_state(&self) {
         let now = self.now();
-        let state = self.state.borrow();
+        let state = self.state();
         self.pool.borrow_mut().update(now, state.targets(), &self.preferred_targets.borrow());
         self.metrics.config_version.set(state.config_version().0 as i64);
-        self.metrics.state_index.set(self.applied.get() as i64);
+        self.metrics.state_index.set(self.applied() as i64);
         let mut moves = std::mem::take(&mut *self.move_started.borrow_mut());
         let services = state.config().map_or(&[][..], |config| &config.services);
         for spec in services.iter().filter(|spec| spec.is_keyed) {
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -57,7 +57,7 @@
                 "event=refused number={number} status={} reason={} config={}",
                 refusal.status.as_u16(),
                 refusal.reason,
-                host.state.borrow().config_version(),
+                host.state().config_version(),
             );
             ("none".to_owned(), refusal.response(), refusal.reason)
         }
@@ -151,7 +151,7 @@
 /// than the service's least urgent routes pass regardless.
 fn is_within_holder_share(host: &EntryHost, params: &AdmissionParams) -> bool {
     let Some(key) = params.key else { return true };
-    let state = host.state.borrow();
+    let state = host.state();
     let Some(table) = state.table(&params.service) else { return true };
     let Some(holder) = &table.find(key).holder else { return true };
     if host.throttle.borrow().share_of(holder).is_none() {
@@ -181,7 +181,7 @@
         request.params.key.map_or(-1, i32::from),
         holder_log_fields(host, request),
         host.queue.borrow().len(),
-        host.applied.get(),
+        host.applied(),
     );
     (reply.response(), reply.reason)
 }
@@ -189,7 +189,7 @@
 /// Log fields that describe what this host knows about the holder of the request's key.
 fn holder_log_fields(host: &EntryHost, request: &ReadRequest) -> String {
     let Some(key) = request.params.key else { return "holder=none".to_owned() };
-    let state = host.state.borrow();
+    let state = host.state();
     let Some(table) = state.table(&request.params.service) else { return "holder=none".to_owned() };
     let assignment = table.find(key);
     let name = |holder: &Option<gw_ranges::RangeHolder>| {
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -224,7 +224,7 @@
         status.as_u16(),
         request.started.elapsed().saturating_sub(reply.elapsed).as_millis(),
         reply.elapsed.as_millis(),
-        host.applied.get(),
+        host.applied(),
     );
     permit.finish(AttemptOutcome::Answered { elapsed: reply.elapsed, is_failure });
     ForwardOutcome::Response(build_response(reply))
--- a/crates/gw-gateway/src/link/link_handle.rs
+++ b/crates/gw-gateway/src/link/link_handle.rs
@@ -1,6 +1,8 @@
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::Bytes;
+use gw_types::Timestamp;
 use tokio::sync::mpsc;
 
 use crate::link::LinkId;
@@ -10,12 +12,14 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LinkHandle {
     pub(crate) id: LinkId,
+    /// When the connection last delivered data.
+    pub(crate) last_byte: Rc<Cell<Timestamp>>,
     frames: Rc<mpsc::Sender<Bytes>>,
 }
 
 impl LinkHandle {
-    pub(crate) fn new(id: LinkId, frames: mpsc::Sender<Bytes>) -> Self {
-        Self { id, frames: Rc::new(frames) }
+    pub(crate) fn new(id: LinkId, opened_at: Timestamp, frames: mpsc::Sender<Bytes>) -> Self {
+        Self { id, last_byte: Rc::new(Cell::new(opened_at)), frames: Rc::new(frames) }
     }
 
     /// Queues a message. Returns `false` and drops it if the connection has ended or its queue is
--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Buf;
 use bytes::BufMut;
 use bytes::Bytes;
 use bytes::BytesMut;
+use gw_daemon::BootClock;
+use gw_types::Clock;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -29,8 +32,9 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(150);
 /// Time without a message after which the connecting side sends a ping.
 const PING_INTERVAL: Duration = Duration::from_millis(400);
-/// Time without a message after which a connection is closed. A connection whose peer stopped
-/// responding shows no error.
+/// Time without data after which a connection is closed. A connection whose peer stopped
+/// responding shows no error. A complete state takes longer than this on a slow link, so any part of
+/// a frame counts.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 thread_local! {
@@ -114,7 +118,7 @@
         log::warn!("event=socket_option_failed peer={peer} cause=\"{error}\"");
     }
     let (frames, queue) = mpsc::channel(FRAME_QUEUE_LEN);
-    let link = LinkHandle::new(LinkId::next(), frames);
+    let link = LinkHandle::new(LinkId::next(), BootClock.now(), frames);
     let id = link.id;
     let opened = LinkEvent::Opened { link: link.clone(), peer, is_outbound };
     if events.send(opened).await.is_err() {
@@ -134,13 +138,13 @@
     mut writer: tokio::net::tcp::OwnedWriteHalf,
     mut queue: mpsc::Receiver<Bytes>,
 ) {
-    while let Some(frame) = queue.recv().await {
-        // The reading side detects a broken connection as well and reports it.
-        if timeout(SILENCE_TIMEOUT, writer.write_all(&frame))
-            .await
-            .map_or(true, |sent| sent.is_err())
-        {
-            return;
+    while let Some(mut frame) = queue.recv().await {
+        while frame.has_remaining() {
+            // The reading side detects a broken connection as well and reports it.
+            match timeout(SILENCE_TIMEOUT, writer.write_buf(&mut frame)).await {
+                Ok(Ok(sent)) if sent > 0 => {}
+                _ => return,
+            }
         }
     }
 }
@@ -152,10 +156,9 @@
     events: &mpsc::Sender<LinkEvent>,
 ) -> io::Result<()> {
     let mut buffer = BytesMut::with_capacity(4 * 1024);
-    let mut last_received = Instant::now();
+    let mut last_byte = Instant::now();
     loop {
         while let Some(message) = decode_frame(&mut buffer)? {
-            last_received = Instant::now();
             match message {
                 LinkMessage::Ping => {
                     link.send(&LinkMessage::Pong);
@@ -169,12 +172,15 @@
                 }
             }
         }
-        if last_received.elapsed() > SILENCE_TIMEOUT {
+        if last_byte.elapsed() > SILENCE_TIMEOUT {
             return Err(io::Error::new(io::ErrorKind::TimedOut, "silent"));
         }
         match timeout(PING_INTERVAL, reader.read_buf(&mut buffer)).await {
             Ok(Ok(0)) => return Ok(()),
-            Ok(Ok(_)) => {}
+            Ok(Ok(_)) => {
+                last_byte = Instant::now();
+                link.last_byte.set(BootClock.now());
+            }
             Ok(Err(error)) => return Err(error),
             Err(_) if is_outbound => {
                 link.send(&LinkMessage::Ping);
