--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -67,7 +67,7 @@
     let outgoing = build_request(host, request, &holder.target, remaining);
     let in_flight = InFlightGuard::start(host, &permit, request.fingerprint);
     let max_idle = match request.rule.repeat {
-        RepeatRule::Idempotent => Duration::MAX,
+        RepeatRule::Idempotent | RepeatRule::UntilFirstByte => Duration::MAX,
         RepeatRule::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
     };
     let end = host.connections.exchange(address, outgoing, until, max_idle, || true).await;
--- a/crates/gw-routing/src/route_rule.rs
+++ b/crates/gw-routing/src/route_rule.rs
@@ -12,6 +12,9 @@
     Idempotent,
     /// Requests are not idempotent: one may be sent again only if certainly no target processed it.
     AtMostOnce,
+    /// Requests are idempotent and have large responses, which are forwarded as they arrive. One may
+    /// be sent again until the first byte of a response went to the caller.
+    UntilFirstByte,
 }
 
 /// Service of a route and its weight.
