feat(gw-gateway): requests are read ahead of responses, large responses are streamed

Responses of targets were read whole, whatever their size: a target that sent without end filled the memory, and a response without a length that broke off got one. Requests without an id took any response on a pooled connection as their own. Change: gw-pipeline frames requests and responses; a connection reads up to 16 requests ahead, runs them at the same time and answers in order. A request that must not run twice starts at its turn, since a response that closes the connection makes the caller send all behind it again. Responses over 128 KiB go to the caller as they arrive; one that breaks off ends with a reset or without its last chunk. Requests without an id use a new connection. An idempotent request that failed on a pooled connection may be sent to the same target again. Established connections are served also when the listener closes. Tests: tables and mutated input for the parser and the encoder; real processes with a target that sends second copies, endless bytes and broken responses. Failed first: endless-idle (502 beside a garbled pooled connection), twice-idle without an id (the response of another request), cut-chunks to an HTTP/1.0 caller (end in order instead of a reset). Ruled out: splitting the stream in front of hyper, which would parse each head twice and hold a duplex stream a request.

--- /dev/null
+++ b/crates/gw-gateway/src/callers/caller_server.rs
@@ -0,0 +1,86 @@
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gw_pipeline::ParseError;
+use gw_pipeline::ParserLimits;
+use http::Request;
+use http::Response;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+use crate::callers::RequestTurn;
+use crate::callers::ResponseBody;
+use crate::callers::caller_connection::CallerConnection;
+use crate::http_server::ACCEPT_RETRY_DELAY;
+use crate::http_server::ConnectionCount;
+use crate::http_server::ConnectionGuard;
+
+/// Limits of a caller's connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallerLimits {
+    pub(crate) parser: ParserLimits,
+    /// Longest time that a connection may be idle, or take to deliver a request head.
+    pub(crate) idle_timeout: Duration,
+}
+
+/// Handles the requests of callers.
+pub(crate) trait CallerHandler {
+    /// Returns the limits of a new connection.
+    fn limits(&self) -> CallerLimits;
+
+    /// Whether no further requests are to be read: responses announce the end of the connection.
+    fn is_stopping(&self) -> bool;
+
+    /// Responds to a request.
+    fn respond(
+        self: Rc<Self>,
+        request: Request<Bytes>,
+        turn: RequestTurn,
+    ) -> impl Future<Output = Response<ResponseBody>> + 'static;
+
+    /// Responds to bytes that are not a request.
+    fn refuse(&self, error: ParseError) -> Response<ResponseBody>;
+
+    /// Counts a request that was read before an earlier one of its connection was answered.
+    fn count_pipelined(&self);
+}
+
+/// Serves callers until `closing` becomes true. Connections that were established by then are still
+/// served: each gets a response to the requests that it has sent.
+pub(crate) async fn serve_callers<H: CallerHandler + 'static>(
+    listener: TcpListener,
+    count: ConnectionCount,
+    mut closing: watch::Receiver<bool>,
+    handler: Rc<H>,
+) {
+    let shared = closing.clone();
+    let start = |(stream, peer): (TcpStream, SocketAddr)| {
+        let guard = ConnectionGuard::new(count.clone());
+        let connection = CallerConnection::new(handler.clone(), peer, shared.clone());
+        spawn_local(async move {
+            connection.serve(stream).await;
+            drop(guard);
+        });
+    };
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok(accepted) => start(accepted),
+                Err(error) => {
+                    log::warn!("event=accept_failed cause=\"{error}\"");
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            },
+            _ = closing.wait_for(|closing| *closing) => break,
+        }
+    }
+    // Dropping the listener resets the connections that wait to be accepted.
+    while let Ok(Ok(accepted)) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        start(accepted);
+    }
+}
--- a/crates/gw-gateway/src/entry/mod.rs
+++ b/crates/gw-gateway/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod control_links;
 mod entry_host;
+mod forwarded_stream;
 mod local_reply;
 mod read_request;
 mod request_handler;
--- a/crates/gw-gateway/src/entry/read_request.rs
+++ b/crates/gw-gateway/src/entry/read_request.rs
@@ -9,10 +9,6 @@
 use http::StatusCode;
 use http::header;
 use http::request;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::entry::admission::AdmissionParams;
@@ -46,10 +42,10 @@
     }
 }
 
-/// Reads the complete request and looks up its route and service.
-pub(crate) async fn read_request(
+/// Looks up the route and service of a request.
+pub(crate) fn read_request(
     host: &Rc<EntryHost>,
-    request: Request<Incoming>,
+    request: Request<Bytes>,
     started: Instant,
     number: u64,
 ) -> Result<ReadRequest, LocalReply> {
@@ -63,14 +59,6 @@
     let Some(rule) = config.find_route(&name, head.uri.path()).cloned() else {
         return Err(unknown_route(host));
     };
-    let limit = usize::try_from(config.limits.max_body_bytes).unwrap_or(usize::MAX);
-    let body = match Limited::new(body, limit).collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return Err(LocalReply::client_error(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
-        }
-        Err(_) => return Err(LocalReply::client_error(StatusCode::BAD_REQUEST, "body_broken")),
-    };
     let Some(service) = host.choose_service(&name, &rule) else {
         return Err(LocalReply::not_executed("no_service", STARTUP_RETRY_AFTER));
     };
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -3,17 +3,19 @@
 
 use bytes::Bytes;
 use gw_dispatch::CrashVerdict;
+use gw_pipeline::ParseError;
+use gw_pipeline::ParserLimits;
 use gw_routing::RepeatRule;
 use gw_types::TargetName;
-use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::header;
-use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::callers::CallerHandler;
+use crate::callers::CallerLimits;
+use crate::callers::RequestTurn;
+use crate::callers::ResponseBody;
 use crate::entry::admission::AdmissionParams;
 use crate::entry::admission::admit;
 use crate::entry::entry_host::EntryHost;
@@ -35,47 +37,103 @@
 /// Attempts that may fail before anything is sent. They do not count towards the route's
 /// `max_attempts`.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
+/// Limits of a caller's connection while this host has no configuration.
+const DEFAULT_CALLER_LIMITS: CallerLimits = CallerLimits {
+    parser: ParserLimits { head_bytes: 16 * 1024, body_bytes: 1024 * 1024 },
+    idle_timeout: Duration::from_secs(30),
+};
 /// Wait for a newer state after a target reported that it does not hold the key.
 const MISDIRECTED_DELAY: Duration = Duration::from_millis(40);
 
+/// Handles the requests of callers on an entry host.
+pub(crate) struct RequestHandler {
+    host: Rc<EntryHost>,
+}
+
+impl RequestHandler {
+    pub(crate) fn new(host: Rc<EntryHost>) -> Self {
+        Self { host }
+    }
+}
+
+impl CallerHandler for RequestHandler {
+    fn limits(&self) -> CallerLimits {
+        let bytes = |limit: u64| usize::try_from(limit).unwrap_or(usize::MAX);
+        let config = self.host.config();
+        config.map_or(DEFAULT_CALLER_LIMITS, |config| CallerLimits {
+            parser: ParserLimits {
+                head_bytes: bytes(config.limits.max_head_bytes),
+                body_bytes: bytes(config.limits.max_body_bytes),
+            },
+            idle_timeout: config.limits.idle_timeout.max(config.limits.head_timeout),
+        })
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.host.is_stopping.get()
+    }
+
+    fn respond(
+        self: Rc<Self>,
+        request: Request<Bytes>,
+        turn: RequestTurn,
+    ) -> impl Future<Output = Response<ResponseBody>> + 'static {
+        handle_request(self.host.clone(), request, turn)
+    }
+
+    fn refuse(&self, error: ParseError) -> Response<ResponseBody> {
+        let refusal = LocalReply::client_error(error.status(), error.reason());
+        log_refusal(&self.host, self.host.next_number(), &refusal);
+        self.host.metrics.count_request("none", refusal.reason, Duration::ZERO);
+        refusal.response()
+    }
+
+    fn count_pipelined(&self) {
+        self.host.metrics.pipelined_requests.inc();
+    }
+}
+
 /// Handles one request of a caller, from reading it to the response.
-pub(crate) async fn handle_request(
+async fn handle_request(
     host: Rc<EntryHost>,
-    request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+    request: Request<Bytes>,
+    turn: RequestTurn,
+) -> Response<ResponseBody> {
     let started = Instant::now();
     let number = host.next_number();
-    let (service, mut response, outcome) = match read_request(&host, request, started, number).await
-    {
+    let (service, response, outcome) = match read_request(&host, request, started, number) {
         Ok(read) => {
+            if read.rule.repeat == RepeatRule::AtMostOnce {
+                turn.wait().await;
+            }
             let service = read.params.service.clone();
             let (response, outcome) = forward_request(&host, &read).await;
             (service.to_string(), response, outcome)
         }
         Err(refusal) => {
-            log::info!(
-                "event=refused number={number} status={} reason={} config={}",
-                refusal.status.as_u16(),
-                refusal.reason,
-                host.state().config_version(),
-            );
+            log_refusal(&host, number, &refusal);
             ("none".to_owned(), refusal.response(), refusal.reason)
         }
     };
     host.metrics.count_request(&service, outcome, started.elapsed());
-    if host.is_stopping.get() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
     response
 }
 
+fn log_refusal(host: &EntryHost, number: u64, refusal: &LocalReply) {
+    log::info!(
+        "event=refused number={number} status={} reason={} config={}",
+        refusal.status.as_u16(),
+        refusal.reason,
+        host.state().config_version(),
+    );
+}
+
 /// Forwards a request to targets, with retries where they are safe. Returns the response and the
 /// outcome for metrics.
 async fn forward_request(
     host: &Rc<EntryHost>,
     request: &ReadRequest,
-) -> (Response<Full<Bytes>>, &'static str) {
+) -> (Response<ResponseBody>, &'static str) {
     let params = &request.params;
     host.record_request(&params.service, params.key);
     if !is_within_holder_share(host, params) {
@@ -109,8 +167,10 @@
         let target = permit.holder.target.clone();
         let outcome = attempt(host, request, permit).await;
         let misdirected = matches!(outcome, ForwardOutcome::NotExecuted { misdirected: true, .. });
+        let may_try_again =
+            matches!(outcome, ForwardOutcome::Unknown { is_connection_fault: true, .. });
         match outcome {
-            ForwardOutcome::Response(response) => return (response, "answered"),
+            ForwardOutcome::Response(response) => return (*response, "answered"),
             ForwardOutcome::NotExecuted { reason, reached: was_reached, .. } => {
                 reached += u32::from(was_reached);
                 unsent += u32::from(!was_reached);
@@ -123,7 +183,7 @@
                     last = Some(LocalReply::not_executed(reason, REFUSAL_RETRY_AFTER));
                 }
             }
-            ForwardOutcome::Unknown { status, reason } => {
+            ForwardOutcome::Unknown { status, reason, .. } => {
                 reached += 1;
                 last = Some(LocalReply::outcome_unknown(status, reason));
                 if request.rule.repeat == RepeatRule::AtMostOnce {
@@ -140,7 +200,7 @@
         if misdirected {
             tokio::time::sleep(MISDIRECTED_DELAY).await;
         }
-        if params.key.is_none() {
+        if params.key.is_none() && !may_try_again {
             tried.push(target);
         }
     }
@@ -167,7 +227,7 @@
     host: &EntryHost,
     request: &ReadRequest,
     reply: LocalReply,
-) -> (Response<Full<Bytes>>, &'static str) {
+) -> (Response<ResponseBody>, &'static str) {
     log::info!(
         "event=refused id={} number={} route={} service={} status={} reason={} age_ms={} key={} {} \
          waiting={} state={}",
--- a/crates/gw-gateway/src/entry/run_entry.rs
+++ b/crates/gw-gateway/src/entry/run_entry.rs
@@ -12,10 +12,11 @@
 
 use crate::GatewaySettings;
 use crate::RunError;
+use crate::callers::serve_callers;
 use crate::entry::admission::run_admission;
 use crate::entry::control_links::ControlLinks;
 use crate::entry::entry_host::EntryHost;
-use crate::entry::request_handler::handle_request;
+use crate::entry::request_handler::RequestHandler;
 use crate::http_server::ConnectionCount;
 use crate::http_server::ServerLimits;
 use crate::http_server::serve;
@@ -61,7 +62,8 @@
         *shared.settings.borrow_mut() = settings;
     }));
     let count = ConnectionCount::default();
-    spawn_local(serve_callers(callers, host.clone(), count.clone()));
+    let handler = Rc::new(RequestHandler::new(host.clone()));
+    spawn_local(serve_callers(callers, count.clone(), host.closing.subscribe(), handler));
     shutdown_signal().await?;
     host.is_stopping.set(true);
     let end = tokio::time::Instant::now() + grace_time.saturating_sub(SHUTDOWN_MARGIN);
@@ -76,20 +78,6 @@
     Ok(())
 }
 
-async fn serve_callers(listener: TcpListener, host: Rc<EntryHost>, count: ConnectionCount) {
-    let closing = host.closing.subscribe();
-    let shared = host.clone();
-    let limits = move || {
-        let config = shared.config();
-        config.map_or_else(ServerLimits::default, |config| ServerLimits {
-            head_bytes: usize::try_from(config.limits.max_head_bytes).unwrap_or(usize::MAX),
-            idle_timeout: config.limits.idle_timeout.max(config.limits.head_timeout),
-        })
-    };
-    let handler = Rc::new(move |request, _peer| handle_request(host.clone(), request));
-    serve(listener, limits, count, closing, handler).await;
-}
-
 async fn serve_readiness(listener: TcpListener, host: Rc<EntryHost>) {
     let handler = Rc::new(move |request: http::Request<hyper::body::Incoming>, _peer| {
         let is_known = request.uri().path() == host.adapter.ready_path();
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -15,14 +15,18 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::response;
 use http_body_util::Full;
 use tokio::time::Instant;
 
+use crate::callers::ResponseBody;
 use crate::entry::admission::SendPermit;
 use crate::entry::entry_host::EntryHost;
+use crate::entry::forwarded_stream::ForwardedStream;
 use crate::entry::read_request::ReadRequest;
 use crate::ports::AttemptMetadata;
 use crate::targets::ExchangeOutcome;
+use crate::targets::StreamedReply;
 use crate::targets::TargetReply;
 
 /// Longest idle time of a pooled connection that may carry an at-most-once request. A connection
@@ -33,7 +37,7 @@
 /// Outcome of one attempt to forward a request.
 pub(crate) enum ForwardOutcome {
     /// The target's response.
-    Response(Response<Full<Bytes>>),
+    Response(Box<Response<ResponseBody>>),
     /// The request was not executed; another attempt is safe.
     NotExecuted {
         reason: &'static str,
@@ -43,7 +47,12 @@
         misdirected: bool,
     },
     /// The request may have been executed.
-    Unknown { status: StatusCode, reason: &'static str },
+    Unknown {
+        status: StatusCode,
+        reason: &'static str,
+        /// Whether the connection may be at fault and not the target, which can then be tried again.
+        is_connection_fault: bool,
+    },
 }
 
 /// Sends a request to the target of `permit` and waits for the response.
@@ -67,6 +76,9 @@
     let outgoing = build_request(host, request, &holder.target, remaining);
     let in_flight = InFlightGuard::start(host, &permit, request.fingerprint);
     let max_idle = match request.rule.repeat {
+        // On a connection that was used before, a late second copy of an earlier response could not
+        // be told from the response to this request.
+        _ if request.metadata.request_id.is_none() => Duration::ZERO,
         RepeatRule::Idempotent | RepeatRule::UntilFirstByte => Duration::MAX,
         RepeatRule::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
     };
@@ -78,7 +90,26 @@
         holder.target,
     );
     match end {
-        ExchangeOutcome::Replied(reply) => classify_reply(host, request, permit, reply),
+        ExchangeOutcome::Replied(TargetReply { head, body, elapsed }) => {
+            match classify_reply(host, request, permit, &head, elapsed) {
+                Ok(permit) => {
+                    permit.finish(answered(&head, elapsed));
+                    build_response(head, ResponseBody::Whole(body))
+                }
+                Err(outcome) => outcome,
+            }
+        }
+        ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed }) => {
+            match classify_reply(host, request, permit, &head, elapsed) {
+                Ok(permit) => {
+                    let outcome = answered(&head, elapsed);
+                    let stream = ForwardedStream::new(host, request, permit, stream, outcome);
+                    let body = ResponseBody::Streamed { len, pieces: Box::new(stream) };
+                    build_response(head, body)
+                }
+                Err(outcome) => outcome,
+            }
+        }
         ExchangeOutcome::NotSent(cause) => {
             log_failure(request, &permit, "not_sent", &cause);
             permit.finish(AttemptOutcome::Unreachable);
@@ -88,17 +119,28 @@
                 misdirected: false,
             }
         }
-        ExchangeOutcome::Broken(cause) => {
+        ExchangeOutcome::Broken { cause, was_pooled } => {
             log_failure(request, &permit, "broken", &cause);
+            if was_pooled {
+                host.connections.close_idle(address);
+            }
             let run = CrashedRun { target: holder.target.clone(), boot: BootId(holder.run) };
             host.quarantine.borrow_mut().record_crash(host.now(), &run, &concurrent);
             permit.finish(AttemptOutcome::Broken);
-            ForwardOutcome::Unknown { status: StatusCode::BAD_GATEWAY, reason: "connection_broke" }
+            ForwardOutcome::Unknown {
+                status: StatusCode::BAD_GATEWAY,
+                reason: "connection_broke",
+                is_connection_fault: was_pooled,
+            }
         }
         ExchangeOutcome::TimedOut => {
             log_failure(request, &permit, "timed_out", "no answer until the deadline");
             permit.finish(AttemptOutcome::Unanswered);
-            ForwardOutcome::Unknown { status: StatusCode::GATEWAY_TIMEOUT, reason: "no_answer" }
+            ForwardOutcome::Unknown {
+                status: StatusCode::GATEWAY_TIMEOUT,
+                reason: "no_answer",
+                is_connection_fault: false,
+            }
         }
     }
 }
@@ -174,17 +216,23 @@
     }
 }
 
-/// Classifies a complete response: refused, belonging to another request, or valid.
+fn answered(head: &response::Parts, elapsed: Duration) -> AttemptOutcome {
+    AttemptOutcome::Answered { elapsed, is_failure: head.status.is_server_error() }
+}
+
+/// Classifies a response: refused, belonging to another request, or valid. Returns the permit with
+/// a valid one.
 fn classify_reply(
     host: &EntryHost,
     request: &ReadRequest,
     permit: SendPermit,
-    reply: TargetReply,
-) -> ForwardOutcome {
-    let metadata = host.adapter.read_response_metadata(&reply.head);
+    head: &response::Parts,
+    elapsed: Duration,
+) -> Result<SendPermit, ForwardOutcome> {
+    let metadata = host.adapter.read_response_metadata(head);
     let is_id_echoed =
         metadata.request_id.is_some() && metadata.request_id == request.metadata.request_id;
-    let status = reply.head.status;
+    let status = head.status;
     if metadata.is_refusal && (metadata.request_id.is_none() || is_id_echoed) {
         log_failure(request, &permit, "refused", status.as_str());
         let is_other_target =
@@ -195,23 +243,23 @@
             AttemptOutcome::Refused
         });
         let reason = if metadata.is_misdirected { "target_misdirected" } else { "target_full" };
-        return ForwardOutcome::NotExecuted {
+        return Err(ForwardOutcome::NotExecuted {
             reason,
             reached: true,
             misdirected: metadata.is_misdirected,
-        };
+        });
     }
     if !is_id_echoed && request.metadata.request_id.is_some() {
         // The response belongs to another request, so no connection to this address can be trusted.
         log_failure(request, &permit, "foreign_answer", status.as_str());
         host.connections.close_idle(permit.address);
         permit.finish(AttemptOutcome::Broken);
-        return ForwardOutcome::Unknown {
+        return Err(ForwardOutcome::Unknown {
             status: StatusCode::BAD_GATEWAY,
             reason: "foreign_answer",
-        };
+            is_connection_fault: true,
+        });
     }
-    let is_failure = status.is_server_error();
     host.quarantine.borrow_mut().record_completion(request.fingerprint);
     log::info!(
         "event=answered id={} number={} service={} target={} key={} status={} waited_ms={} \
@@ -222,25 +270,17 @@
         permit.holder,
         request.params.key.map_or(-1, i32::from),
         status.as_u16(),
-        request.started.elapsed().saturating_sub(reply.elapsed).as_millis(),
-        reply.elapsed.as_millis(),
+        request.started.elapsed().saturating_sub(elapsed).as_millis(),
+        elapsed.as_millis(),
         host.applied(),
     );
-    permit.finish(AttemptOutcome::Answered { elapsed: reply.elapsed, is_failure });
-    ForwardOutcome::Response(build_response(reply))
+    Ok(permit)
 }
 
-fn build_response(reply: TargetReply) -> Response<Full<Bytes>> {
-    let TargetReply { head, body, .. } = reply;
-    let len = body.len();
-    let mut response = Response::new(Full::new(body));
+fn build_response(head: response::Parts, body: ResponseBody) -> ForwardOutcome {
+    let mut response = Response::new(body);
     *response.status_mut() = head.status;
-    let headers = response.headers_mut();
-    *headers = head.headers;
-    remove_hop_fields(headers);
-    // Responses without a body, such as those to HEAD, keep the `Content-Length` that they state.
-    if len > 0 {
-        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(len));
-    }
-    response
+    *response.headers_mut() = head.headers;
+    remove_hop_fields(response.headers_mut());
+    ForwardOutcome::Response(Box::new(response))
 }
--- a/crates/gw-gateway/src/gateway_metrics.rs
+++ b/crates/gw-gateway/src/gateway_metrics.rs
@@ -33,6 +33,9 @@
     requests: Family<EndLabels, Counter>,
     latency: Family<ServiceLabels, Histogram>,
     orders: Family<EndLabels, Counter>,
+    pub(crate) pipelined_requests: Counter,
+    pub(crate) streamed_bytes: Counter,
+    pub(crate) broken_responses: Counter,
     pub(crate) waiting: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) state_index: Gauge,
@@ -48,6 +51,9 @@
             requests: Family::default(),
             latency: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS)),
             orders: Family::default(),
+            pipelined_requests: Counter::default(),
+            streamed_bytes: Counter::default(),
+            broken_responses: Counter::default(),
             waiting: Gauge::default(),
             config_version: Gauge::default(),
             state_index: Gauge::default(),
@@ -67,6 +73,12 @@
         let help = "Time from reading a request's head to its answer, in seconds";
         registry.register("request_seconds", help, self.latency.clone());
         registry.register("orders", "Orders about key ranges by end", self.orders.clone());
+        let help = "Requests that were read before an earlier one of their connection was answered";
+        registry.register("pipelined_requests", help, self.pipelined_requests.clone());
+        let help = "Bytes of responses that were forwarded as they arrived";
+        registry.register("streamed_bytes", help, self.streamed_bytes.clone());
+        let help = "Responses that broke off after their head was forwarded";
+        registry.register("broken_responses", help, self.broken_responses.clone());
         registry.register("waiting_requests", "Requests that wait for room", self.waiting.clone());
         let help = "Version of the routing configuration in force";
         registry.register("config_version", help, self.config_version.clone());
--- a/crates/gw-gateway/src/http_server.rs
+++ b/crates/gw-gateway/src/http_server.rs
@@ -20,7 +20,7 @@
 use tokio::task::spawn_local;
 
 /// Delay after a failed `accept`.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Largest request head, in bytes, when no limit is configured.
 const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
@@ -51,10 +51,11 @@
     }
 }
 
-struct ConnectionGuard(ConnectionCount);
+/// Counts a connection as open until dropped.
+pub(crate) struct ConnectionGuard(ConnectionCount);
 
 impl ConnectionGuard {
-    fn new(count: ConnectionCount) -> Self {
+    pub(crate) fn new(count: ConnectionCount) -> Self {
         count.0.set(count.0.get() + 1);
         Self(count)
     }
--- a/crates/gw-gateway/src/lib.rs
+++ b/crates/gw-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod callers;
 mod control;
 mod entry;
 mod gateway_metrics;
--- a/crates/gw-gateway/src/targets/exchange.rs
+++ b/crates/gw-gateway/src/targets/exchange.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use http::response;
 
+use crate::targets::TargetStream;
+
 /// A complete response of a target.
 #[derive(Debug)]
 pub(crate) struct TargetReply {
@@ -12,17 +14,35 @@
     pub(crate) elapsed: Duration,
 }
 
+/// The beginning of a response of a target that is forwarded as it arrives.
+#[derive(Debug)]
+pub(crate) struct StreamedReply {
+    pub(crate) head: response::Parts,
+    /// Length of the body, if the target states it.
+    pub(crate) len: Option<u64>,
+    pub(crate) stream: TargetStream,
+    /// Time from sending the request to the decision to stream.
+    pub(crate) elapsed: Duration,
+}
+
 /// Outcome of an exchange with a target. The variants state whether the target may have executed
 /// the request.
 #[derive(Debug)]
 pub(crate) enum ExchangeOutcome {
     /// A complete response arrived.
     Replied(TargetReply),
+    /// A large response has begun to arrive.
+    Streaming(StreamedReply),
     /// No byte of the request was handed to the connection, so it was not executed.
     NotSent(String),
     /// The connection broke or carried something that is not a response. The request may have been
     /// executed.
-    Broken(String),
+    Broken {
+        cause: String,
+        /// Whether the connection had carried earlier requests. The target may have closed it while it
+        /// was idle, or sent something that belongs to one of them.
+        was_pooled: bool,
+    },
     /// No complete response arrived in time. The request may have been executed.
     TimedOut,
 }
--- a/crates/gw-gateway/src/targets/order_sender.rs
+++ b/crates/gw-gateway/src/targets/order_sender.rs
@@ -55,6 +55,9 @@
             adapter.read_order_response(order, reply.head.status, &reply.head.headers)
         }
         ExchangeOutcome::NotSent(_) => OrderOutcome::NotSent,
-        ExchangeOutcome::Broken(_) | ExchangeOutcome::TimedOut => OrderOutcome::Unanswered,
+        // Responses to orders are small; anything else is not one.
+        ExchangeOutcome::Streaming(_)
+        | ExchangeOutcome::Broken { .. }
+        | ExchangeOutcome::TimedOut => OrderOutcome::Unanswered,
     }
 }
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::Request;
 use http::Response;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -20,7 +22,9 @@
 use tokio::time::timeout_at;
 
 use crate::targets::ExchangeOutcome;
+use crate::targets::StreamedReply;
 use crate::targets::TargetReply;
+use crate::targets::TargetStream;
 use crate::targets::set_socket_options;
 use crate::targets::socket_options::reset_on_close;
 
@@ -33,8 +37,13 @@
 /// Largest number of idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = 3;
 
+/// Largest response, in bytes, that is read completely before it is forwarded: until then a failure
+/// can be repaired by another attempt. A larger one is forwarded as it arrives.
+const MAX_WHOLE_BYTES: usize = 128 * 1024;
+
 /// A connection that is closed when dropped.
-struct TargetConnection {
+#[derive(Debug)]
+pub(super) struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
 }
@@ -46,6 +55,7 @@
     }
 }
 
+#[derive(Debug)]
 struct IdleConnection {
     address: SocketAddr,
     connection: TargetConnection,
@@ -54,7 +64,7 @@
 }
 
 /// Pool of connections to targets. Each connection carries one request at a time.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct TargetConnections {
     idle: Rc<RefCell<Vec<IdleConnection>>>,
     opened: Rc<std::cell::Cell<u64>>,
@@ -71,13 +81,18 @@
         let mut idle = self.idle.borrow_mut();
         idle.retain(|pooled| pooled.usable_until > now && !pooled.connection.sender.is_closed());
         let is_usable = |pooled: &IdleConnection| {
-            pooled.address == address && now.duration_since(pooled.idle_since) <= max_idle
+            pooled.address == address && now.duration_since(pooled.idle_since) < max_idle
         };
         let newest = idle.iter().rposition(is_usable)?;
         Some(idle.remove(newest).connection)
     }
 
-    fn keep(&self, address: SocketAddr, connection: TargetConnection, idle_time: Duration) {
+    pub(super) fn keep(
+        &self,
+        address: SocketAddr,
+        connection: TargetConnection,
+        idle_time: Duration,
+    ) {
         let mut idle = self.idle.borrow_mut();
         let of_target = idle.iter().filter(|pooled| pooled.address == address).count();
         if of_target < MAX_IDLE_PER_TARGET {
@@ -110,8 +125,9 @@
         Ok(TargetConnection { sender, driver })
     }
 
-    /// Sends a request and waits for the complete response until `deadline`. A pooled connection is
-    /// used only if it was idle for at most `max_idle`. `may_send` is evaluated right before the
+    /// Sends a request and waits for the response until `deadline`; a large response may still be
+    /// arriving then. A pooled connection is
+    /// used only if it was idle for less than `max_idle`. `may_send` is evaluated right before the
     /// request is handed to the connection; if it returns `false`, nothing is sent.
     pub(crate) async fn exchange(
         &self,
@@ -146,17 +162,19 @@
             match sent {
                 Err(_) => return ExchangeOutcome::TimedOut,
                 Ok(Ok(response)) => {
-                    return self.read_reply(address, connection, response, started, deadline).await;
+                    let reply = self.read_reply(address, connection, response, started, deadline);
+                    return reply.await.unwrap_or_else(|cause| broken(cause, is_pooled));
                 }
                 Ok(Err(mut failed)) => match failed.take_message() {
                     Some(unsent) if is_pooled => request = unsent,
                     Some(_) => return ExchangeOutcome::NotSent(failed.into_error().to_string()),
-                    None => return ExchangeOutcome::Broken(failed.into_error().to_string()),
+                    None => return broken(failed.into_error().to_string(), is_pooled),
                 },
             }
         }
     }
 
+    /// Reads a response, a large one only in part. Fails if it breaks off.
     async fn read_reply(
         &self,
         address: SocketAddr,
@@ -164,22 +182,44 @@
         response: Response<Incoming>,
         started: Instant,
         deadline: Instant,
-    ) -> ExchangeOutcome {
-        let (head, body) = response.into_parts();
-        let body = match timeout_at(deadline, body.collect()).await {
-            Err(_) => return ExchangeOutcome::TimedOut,
-            Ok(Err(error)) => return ExchangeOutcome::Broken(error.to_string()),
-            Ok(Ok(collected)) => collected.to_bytes(),
+    ) -> Result<ExchangeOutcome, String> {
+        let (head, mut body) = response.into_parts();
+        let len = body.size_hint().exact();
+        let mut received = BytesMut::new();
+        let is_large = loop {
+            if len.is_some_and(|len| len > MAX_WHOLE_BYTES as u64) {
+                break true;
+            }
+            let frame = match timeout_at(deadline, body.frame()).await {
+                Err(_) => return Ok(ExchangeOutcome::TimedOut),
+                Ok(Some(Err(error))) => return Err(error.to_string()),
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) => break false,
+            };
+            // Trailers are not forwarded.
+            if let Ok(data) = frame.into_data() {
+                received.extend_from_slice(&data);
+            }
+            if received.len() > MAX_WHOLE_BYTES {
+                break true;
+            }
         };
         let closes = head.headers.get(header::CONNECTION).is_some_and(|value| {
             value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
         });
         let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
-        if !closes && is_framed {
-            self.keep(address, connection, idle_time(&head.headers));
+        let idle_time = (!closes && is_framed).then(|| idle_time(&head.headers));
+        let (received, elapsed) = (received.freeze(), started.elapsed());
+        if is_large {
+            let (connection, body) = ((connection, idle_time), (received, body, len.is_some()));
+            let stream = TargetStream::new(self.clone(), address, connection, body, deadline);
+            return Ok(ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed }));
         }
-        ExchangeOutcome::Replied(TargetReply { head, body, elapsed: started.elapsed() })
+        if let Some(idle_time) = idle_time {
+            self.keep(address, connection, idle_time);
+        }
+        Ok(ExchangeOutcome::Replied(TargetReply { head, body: received, elapsed }))
     }
 
     /// Closes the idle connections to `address`. Called after a response that belonged to another
@@ -189,6 +229,10 @@
     }
 }
 
+fn broken(cause: String, was_pooled: bool) -> ExchangeOutcome {
+    ExchangeOutcome::Broken { cause, was_pooled }
+}
+
 /// Returns how long a connection may stay idle, from the `Keep-Alive` header.
 fn idle_time(headers: &http::HeaderMap) -> Duration {
     let value = headers.get("keep-alive").and_then(|value| value.to_str().ok());
