perf(gw-gateway): entry hosts pay for their own zone, not for the whole fleet

Each entry host rebuilt its target pool at each change of any range: for each target it listed the targets of the zone, so that the cost grew with the square of the fleet. Each request scanned all targets and sorted their response times, and each wake-up of the queue did so for each waiting request. Each entry host held connections to all 15 control hosts, with a head each 250 ms and a report each 300 ms on each of them (4,275 connections), and a control host compared each pair of entry hosts for each head. Change: the pool groups targets by service, is updated only if targets or preferences changed, and joins updates within 30 ms; the typical response time is kept for 50 ms; a queue asks once for a service without room. Entry hosts of groups of more than 5 connect to the control hosts of their zone, the leader and two others (gw_fleet::ControlChoice), which heads now name; all known ones while none is usable. Followers get a report each 600 ms.

--- a/crates/gw-balance/src/lib.rs
+++ b/crates/gw-balance/src/lib.rs
@@ -13,6 +13,7 @@
 mod holder_throttle;
 mod preferred_targets;
 mod request_queue;
+mod service_targets;
 mod target_pool;
 mod target_view;
 
--- a/crates/gw-balance/src/preferred_targets.rs
+++ b/crates/gw-balance/src/preferred_targets.rs
@@ -1,5 +1,4 @@
 use gw_types::HostName;
-use gw_types::TargetName;
 
 /// Assigns the targets of an availability zone to its entry hosts as preferred targets.
 ///
@@ -29,24 +28,15 @@
         self.hosts.is_empty()
     }
 
-    /// Returns whether `host` prefers `target`. `targets` are the zone's targets of one service,
-    /// sorted. Every target is preferred by at least one host, and every host prefers at least one
-    /// target.
-    pub fn is_preferred(
-        &self,
-        host: &HostName,
-        target: &TargetName,
-        targets: &[TargetName],
-    ) -> bool {
-        let (Ok(host), Ok(target)) =
-            (self.hosts.binary_search(host), targets.binary_search(target))
-        else {
-            return false;
-        };
-        if targets.len() >= self.hosts.len() {
-            target % self.hosts.len() == host
+    /// Returns whether `host` prefers the target at `position` among the zone's `count` targets of
+    /// one service. Every target is preferred by at least one host, and every host prefers at least
+    /// one target.
+    pub fn is_preferred(&self, host: &HostName, position: usize, count: usize) -> bool {
+        let Ok(host) = self.hosts.binary_search(host) else { return false };
+        if count >= self.hosts.len() {
+            position % self.hosts.len() == host
         } else {
-            host % targets.len() == target
+            host % count == position
         }
     }
 }
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -13,6 +13,7 @@
 use crate::AttemptOutcome;
 use crate::PreferredTargets;
 use crate::TargetView;
+use crate::service_targets::ServiceTargets;
 
 /// Response time in seconds that is assumed for a service without recent responses.
 const DEFAULT_RESPONSE_SECONDS: f64 = 0.1;
@@ -37,6 +38,10 @@
 /// Time for which a draining holder still receives requests for its keys, until they have moved.
 const DRAIN_GRACE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Age from which the typical response time of a service is computed anew. Moving averages of
+/// requests of a tenth of a second change little in this time.
+const MAX_TYPICAL_AGE: Duration = Duration::from_millis(50);
+
 /// Whether the holder of a key can accept a request from this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HolderAvailability {
@@ -60,6 +65,8 @@
     host_count: u32,
     /// Sorted by name.
     targets: Vec<TargetView>,
+    /// The targets by service, sorted by service.
+    services: Vec<ServiceTargets>,
 }
 
 impl TargetPool {
@@ -71,6 +78,7 @@
             preferred: PreferredTargets::default(),
             host_count: 1,
             targets: Vec::new(),
+            services: Vec::new(),
         }
     }
 
@@ -92,37 +100,37 @@
             while old.next_if(|target| target.record.name < record.name).is_some() {}
             let known = old.next_if(|target| target.record.name == record.name);
             let known_run = known.filter(|target| target.record.run == record.run);
-            let mut target = known_run.unwrap_or_else(|| TargetView::new(record.clone(), now));
+            let mut target = known_run.unwrap_or_else(|| {
+                let spread = FACTOR_SPREAD * host_specific_fraction(&self.host, &record.name);
+                TargetView::new(record.clone(), now, spread)
+            });
             target.update_record(record, now);
             self.targets.push(target);
         }
         self.preferred = preferred.clone();
+        self.services = ServiceTargets::group(&self.targets);
         self.assign_preferred();
     }
 
     fn assign_preferred(&mut self) {
-        let same_zone: Vec<(ServiceName, TargetName)> = self
-            .targets
-            .iter()
-            .filter(|target| target.record.zone == self.zone)
-            .map(|target| (target.record.service.clone(), target.record.name.clone()))
-            .collect();
-        for target in &mut self.targets {
-            let service = &target.record.service;
-            target.is_same_zone = target.record.zone == self.zone;
-            let peers = same_zone.iter().filter(|(other, _)| other == service);
-            let peers: Vec<TargetName> = peers.map(|(_, name)| name.clone()).collect();
-            target.is_preferred = target.is_same_zone
-                && self.preferred.is_preferred(&self.host, &target.record.name, &peers);
-            target.cost_factor = match (target.is_preferred, target.is_same_zone) {
-                (true, _) => 1.0,
-                (false, true) => {
-                    MIN_OTHER_TARGET_FACTOR + host_specific_factor(&self.host, &target.record.name)
-                }
-                (false, false) => {
-                    MIN_OTHER_ZONE_FACTOR + host_specific_factor(&self.host, &target.record.name)
-                }
-            };
+        for group in &self.services {
+            let is_same_zone = |index: &usize| self.targets[*index].record.zone == self.zone;
+            let same_zone: Vec<usize> =
+                group.positions.iter().copied().filter(is_same_zone).collect();
+            for &position in &group.positions {
+                let zone_position = same_zone.binary_search(&position).ok();
+                let is_preferred = zone_position.is_some_and(|zone_position| {
+                    self.preferred.is_preferred(&self.host, zone_position, same_zone.len())
+                });
+                let target = &mut self.targets[position];
+                target.is_same_zone = zone_position.is_some();
+                target.is_preferred = is_preferred;
+                target.cost_factor = match (is_preferred, target.is_same_zone) {
+                    (true, _) => 1.0,
+                    (false, true) => MIN_OTHER_TARGET_FACTOR + target.factor_spread,
+                    (false, false) => MIN_OTHER_ZONE_FACTOR + target.factor_spread,
+                };
+            }
         }
     }
 
@@ -137,26 +145,44 @@
         &self.targets
     }
 
-    fn targets_of<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a TargetView> {
-        self.targets.iter().filter(move |target| target.record.service == *service)
+    fn group(&self, service: &ServiceName) -> Option<&ServiceTargets> {
+        let found = self.services.binary_search_by(|group| group.service.cmp(service));
+        found.ok().map(|index| &self.services[index])
+    }
+
+    fn targets_of(&self, service: &ServiceName) -> impl Iterator<Item = &TargetView> {
+        let positions = self.group(service).map_or(&[][..], |group| &group.positions);
+        positions.iter().map(|position| &self.targets[*position])
     }
 
-    /// Returns the median response time of a service's targets in seconds.
+    /// Returns the median response time of a service's targets in seconds. Computed anew after
+    /// [`MAX_TYPICAL_AGE`].
     pub fn typical_response_time(&self, now: Timestamp, service: &ServiceName) -> f64 {
+        let Some(group) = self.group(service) else { return DEFAULT_RESPONSE_SECONDS };
+        if let Some((computed_at, typical)) = group.typical.get()
+            && now.since(computed_at) < MAX_TYPICAL_AGE
+        {
+            return typical;
+        }
         let mut times: Vec<f64> =
             self.targets_of(service).filter_map(|target| target.response_time(now)).collect();
-        times.sort_by(f64::total_cmp);
-        times.get(times.len() / 2).copied().unwrap_or(DEFAULT_RESPONSE_SECONDS)
+        let middle = times.len() / 2;
+        let typical = match times.is_empty() {
+            true => DEFAULT_RESPONSE_SECONDS,
+            false => *times.select_nth_unstable_by(middle, f64::total_cmp).1,
+        };
+        group.typical.set(Some((now, typical)));
+        typical
     }
 
     /// Returns the target of `service` with the lowest cost that is available and below its limit
     /// of requests in flight, other than `tried`.
-    pub fn pick<'a>(
-        &'a self,
+    pub fn pick(
+        &self,
         now: Timestamp,
-        service: &'a ServiceName,
+        service: &ServiceName,
         tried: &[TargetName],
-    ) -> Option<&'a TargetView> {
+    ) -> Option<&TargetView> {
         let typical = self.typical_response_time(now, service);
         let available = self.targets_of(service).filter(|target| {
             target.is_available(now)
@@ -164,7 +190,8 @@
                 && !tried.contains(&target.record.name)
         });
         let cost = |target: &TargetView| target.cost(now, typical, OTHER_ZONE_PENALTY_SECONDS);
-        available.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        let ranked = available.map(|target| (cost(target), target));
+        ranked.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, target)| target)
     }
 
     fn in_flight_limit(&self, target: &TargetView) -> u32 {
@@ -245,8 +272,8 @@
     }
 }
 
-/// Returns the pseudo-random part of the cost factor of `target` on `host`.
-fn host_specific_factor(host: &HostName, target: &TargetName) -> f64 {
+/// Returns a pseudo-random fraction for `target` on `host`.
+fn host_specific_fraction(host: &HostName, target: &TargetName) -> f64 {
     let hash = KeyHash::of(format!("{host} {target}").as_bytes()).0;
-    FACTOR_SPREAD * (hash as f64 / u64::MAX as f64)
+    hash as f64 / u64::MAX as f64
 }
--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -35,6 +35,8 @@
     /// Factor on the expected response time when targets are compared: 1 for preferred targets,
     /// more for others. Differs between hosts.
     pub(crate) cost_factor: f64,
+    /// Part of the cost factor of targets that are not preferred; differs between hosts.
+    pub(crate) factor_spread: f64,
     /// Number of this host's requests in flight at the target.
     pub in_flight: u32,
     /// Time at which this host learned that the target is draining.
@@ -56,12 +58,13 @@
 }
 
 impl TargetView {
-    pub(crate) fn new(record: TargetRecord, now: Timestamp) -> Self {
+    pub(crate) fn new(record: TargetRecord, now: Timestamp, factor_spread: f64) -> Self {
         Self {
             record,
             is_same_zone: false,
             is_preferred: false,
             cost_factor: 1.0,
+            factor_spread,
             in_flight: 0,
             draining_since: None,
             response_time: None,
@@ -119,7 +122,9 @@
 
     /// Applies a newer announcement of the same run.
     pub(crate) fn update_record(&mut self, record: &TargetRecord, now: Timestamp) {
-        self.record = record.clone();
+        if self.record != *record {
+            self.record = record.clone();
+        }
         if record.phase == TargetPhase::Draining {
             self.draining_since.get_or_insert(now);
         }
--- a/crates/gw-fleet/src/lib.rs
+++ b/crates/gw-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod control_choice;
 mod departed_target;
 mod fleet_command;
 mod fleet_state;
@@ -16,6 +17,7 @@
 mod stored_config;
 mod target_record;
 
+pub use control_choice::ControlChoice;
 pub use departed_target::DepartedTarget;
 pub use departed_target::DepartureCause;
 pub use fleet_command::FleetCommand;
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -235,17 +235,30 @@
         self.replica.borrow().as_ref().is_some_and(|replica| replica.node.is_leader())
     }
 
+    /// Returns the address at which this host accepts connections of other hosts.
+    pub(crate) fn own_peer_address(&self) -> SocketAddr {
+        let settings = self.settings.borrow();
+        SocketAddr::new(settings.address, settings.peer_port)
+    }
+
+    /// Returns the leader this replica last heard from, if the contact is recent.
+    fn recent_leader(&self) -> Option<HostId> {
+        let now = self.now();
+        let replica = self.replica.borrow();
+        let node = &replica.as_ref()?.node;
+        let is_fresh = now.since(node.last_leader_contact()) < CONTACT_TIMEOUT;
+        node.leader_hint().filter(|_| is_fresh)
+    }
+
+    /// Returns the address of the leader this replica last heard from, if the contact is recent.
+    pub(crate) fn leader_address(&self) -> Option<SocketAddr> {
+        self.peer_address(self.recent_leader()?)
+    }
+
     /// Returns the connection to the leader this replica last heard from, if that is another host
     /// and the contact is recent.
     pub(crate) fn leader_link(&self) -> Option<LinkHandle> {
-        let now = self.now();
-        let leader = {
-            let replica = self.replica.borrow();
-            let node = &replica.as_ref()?.node;
-            let is_fresh = now.since(node.last_leader_contact()) < CONTACT_TIMEOUT;
-            node.leader_hint().filter(|_| is_fresh)?
-        };
-        self.link_to(leader)
+        self.link_to(self.recent_leader()?)
     }
 
     /// Returns the address of a replica, from the replicated state or, if it is not there, from the
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -59,11 +60,11 @@
 
     /// Maintains connections to all known control hosts and closes all others.
     pub(crate) fn dial(&mut self) {
-        let (seeds, port, own) = {
+        let (seeds, port) = {
             let settings = self.host.settings.borrow();
-            let own = SocketAddr::new(settings.address, settings.peer_port);
-            (settings.seeds.clone(), settings.peer_port, own)
+            (settings.seeds.clone(), settings.peer_port)
         };
+        let own = self.host.own_peer_address();
         let log = self.host.log.borrow();
         let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
         let known = log.state().replicas().iter().map(|replica| replica.peers);
@@ -191,15 +192,26 @@
     let replicas = log.state().replicas();
     let crashes = host.quarantine.borrow().entries(now);
     let shares = if is_leader { share_reports(host, now, log.state()) } else { Vec::new() };
+    let leader = match is_leader {
+        true => Some(host.own_peer_address()),
+        false => host.leader_address(),
+    };
     let mut links = host.links.borrow_mut();
+    let control_zones = connected_control_hosts(host, &links);
     let entry_hosts = connected_entry_hosts(&links);
+    let mut by_zone: BTreeMap<ZoneName, Vec<HostName>> = BTreeMap::new();
+    for (name, zone) in &entry_hosts {
+        by_zone.entry(zone.clone()).or_default().push(name.clone());
+    }
     for link in links.iter_mut().filter(|link| link.is_entry() && is_recipient(link)) {
         let zone = link.hello.as_ref().map(|(_, zone, _)| zone.clone());
-        let zone_hosts = entry_hosts.iter().filter(|(_, other)| Some(other) == zone.as_ref());
+        let zone_hosts = zone.and_then(|zone| by_zone.get(&zone));
         let details = HeadDetails {
             replicas: replicas.to_vec(),
-            zone_hosts: zone_hosts.map(|(name, _)| name.clone()).collect(),
+            zone_hosts: zone_hosts.cloned().unwrap_or_default(),
             crashes: crashes.clone(),
+            control_zones: control_zones.clone(),
+            leader,
         };
         let is_new = link
             .sent_details
@@ -249,9 +261,24 @@
     };
     sent_details.replicas == details.replicas
         && sent_details.zone_hosts == details.zone_hosts
+        && sent_details.control_zones == details.control_zones
+        && sent_details.leader == details.leader
         && crashes(sent_details) == crashes(details)
 }
 
+/// Returns the zones of the control hosts to which this host has opened connections, and its own.
+fn connected_control_hosts(host: &ControlHost, links: &[PeerLink]) -> Vec<(SocketAddr, ZoneName)> {
+    let zone = |link: &PeerLink| match &link.hello {
+        Some((_, zone, HostKind::Control)) if link.is_outbound => Some((link.peer, zone.clone())),
+        _ => None,
+    };
+    let mut hosts: Vec<(SocketAddr, ZoneName)> = links.iter().filter_map(zone).collect();
+    hosts.push((host.own_peer_address(), host.settings.borrow().zone.clone()));
+    hosts.sort();
+    hosts.dedup();
+    hosts
+}
+
 fn connected_entry_hosts(links: &[PeerLink]) -> Vec<(HostName, ZoneName)> {
     let entries = links.iter().filter(|link| link.is_entry());
     let mut hosts: Vec<(HostName, ZoneName)> = entries
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -260,8 +260,16 @@
             tokio::time::timeout(POLL_INTERVAL, host.admission_wakeup.notified()).await.ok();
         }
         let now = host.now();
+        // Services without keys for which no target has capacity.
+        let mut full: Vec<ServiceName> = Vec::new();
         let admitted = host.queue.borrow_mut().take_admitted(|request| {
+            if request.key.is_none() && full.contains(&request.service) {
+                return None;
+            }
             let found = select_target(&host, now, &request.service, request.key, &request.tried);
+            if found.is_none() && request.key.is_none() && request.tried.is_empty() {
+                full.push(request.service.clone());
+            }
             found.map(|(holder, address)| SendPermit::new(&host, holder, address))
         });
         for (number, permit) in admitted {
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -4,6 +4,7 @@
 
 use gw_balance::AnsweredRequests;
 use gw_balance::PreferredTargets;
+use gw_fleet::ControlChoice;
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
@@ -12,11 +13,14 @@
 use gw_types::ZoneName;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 use crate::entry::entry_host::EntryHost;
 use crate::link::CallResult;
 use crate::link::DialedPeers;
 use crate::link::EntryReport;
+use crate::link::HeadDetails;
 use crate::link::HeadMessage;
 use crate::link::HostKind;
 use crate::link::LinkEvent;
@@ -30,6 +34,9 @@
 
 /// Interval between reports to control hosts.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Ticks between reports to control hosts that do not lead; the reports show them that this host is
+/// alive.
+const FOLLOWER_REPORT_TICKS: u32 = 2;
 /// Age of a control host's last message after which its state updates are not relied on.
 const MAX_HEAD_AGE: Duration = Duration::from_millis(1_000);
 /// Age after which the leader's list of overloaded holders is discarded: keys move off an
@@ -49,7 +56,7 @@
     last_received: Timestamp,
 }
 
-/// Follows the control log over connections to all known control hosts, and sends them reports.
+/// Follows the control log over connections to control hosts, and sends them reports.
 ///
 /// One control host, in this host's availability zone if possible, streams every change. The others
 /// only announce their log index; entries are requested from one of them when the stream falls
@@ -59,6 +66,12 @@
     /// Connections to control hosts, by address.
     dialed: DialedPeers,
     links: Vec<ControlLink>,
+    /// What is known about the control hosts.
+    group: ControlChoice,
+    /// Whether no control host was usable at the last tick.
+    is_cut_off: bool,
+    /// Number of ticks so far.
+    ticks: u32,
     /// Connection over which changes are streamed.
     stream: Option<LinkId>,
     fetch: StateFetch<LinkId>,
@@ -77,13 +90,16 @@
             host,
             dialed: DialedPeers::new(events),
             links: Vec::new(),
+            group: ControlChoice::default(),
+            is_cut_off: true,
+            ticks: 0,
             stream: None,
             fetch: StateFetch::default(),
             behind_since: None,
             quarantine_digest: 0,
             shares_received_at: Timestamp::ZERO,
         };
-        links.dial(&[]);
+        links.dial();
         let mut reports = tokio::time::interval(REPORT_INTERVAL);
         reports.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -93,20 +109,37 @@
                     None => return,
                 },
                 _ = reports.tick() => links.tick(),
+                () = until(links.host.pool_due_at()) => links.host.update_pool(),
             }
         }
     }
 
-    /// Maintains connections to the control hosts in the settings and to `replicas`, and closes all
-    /// others.
-    fn dial(&mut self, replicas: &[ReplicaRecord]) {
-        let (seeds, port) = {
-            let settings = self.host.settings.borrow();
-            (settings.seeds.clone(), settings.peer_port)
+    /// Stores what a control host says about the group.
+    fn learn_control_hosts(&mut self, details: &HeadDetails) {
+        if details.replicas.is_empty() {
+            return;
+        }
+        let zone = |replica: &ReplicaRecord| {
+            let found = details.control_zones.iter().find(|(peers, _)| *peers == replica.peers);
+            (replica.peers, found.map(|(_, zone)| zone.clone()))
         };
-        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
-        let known = replicas.iter().map(|replica| replica.peers);
-        let wanted: Vec<SocketAddr> = seeds.chain(known).collect();
+        self.group.hosts = details.replicas.iter().map(zone).collect();
+        self.group.leader = details.leader.or(self.group.leader);
+        self.dial();
+    }
+
+    /// Maintains connections to the chosen control hosts, and closes all others. Connects to all
+    /// known ones while none is usable.
+    fn dial(&mut self) {
+        let settings = self.host.settings.borrow();
+        let (zone, port) = (settings.zone.clone(), settings.peer_port);
+        let seeds = settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
+        let mut wanted = self.group.choose(&settings.host, &zone);
+        if self.is_cut_off || self.group.hosts.len() <= wanted.len() {
+            wanted.extend(seeds);
+            wanted.extend(self.group.hosts.iter().map(|(address, _)| *address));
+        }
+        drop(settings);
         self.dialed.set_peers(wanted);
         let dialed = &self.dialed;
         self.links.retain(|link| dialed.contains(&link.peer));
@@ -171,8 +204,12 @@
         let Some(link) = self.links.iter().find(|link| link.link.id == id) else { return };
         let Some(head) = link.head.clone() else { return };
         let details = head.details.as_ref();
+        let own_zone = self.host.settings.borrow().zone.clone();
+        let knows_zone = head.is_leader || link.zone.as_ref() == Some(&own_zone);
         if head.is_current {
             self.host.last_contact.set(self.host.now());
+        }
+        if head.is_leader {
             let host_count = usize::try_from(head.host_count).unwrap_or(usize::MAX);
             self.host.host_count.set(host_count);
             self.host.pool.borrow_mut().set_host_count(host_count);
@@ -187,15 +224,11 @@
             self.shares_received_at = self.host.now();
         }
         if let Some(details) = details.filter(|_| head.is_current) {
-            let preferred = PreferredTargets::new(details.zone_hosts.clone());
-            let is_new = *self.host.preferred_targets.borrow() != preferred;
-            if is_new {
-                *self.host.preferred_targets.borrow_mut() = preferred;
-                self.host.refresh_from_state();
-            }
-            if !details.replicas.is_empty() {
-                self.dial(&details.replicas);
+            if knows_zone {
+                let preferred = PreferredTargets::new(details.zone_hosts.clone());
+                self.host.set_preferred_targets(preferred);
             }
+            self.learn_control_hosts(details);
         }
         let now = self.host.now();
         for entry in details.map_or(&[][..], |details| &details.crashes) {
@@ -289,8 +322,11 @@
     }
 
     fn tick(&mut self) {
-        if self.dialed.is_empty() {
-            self.dial(&[]);
+        let now = self.host.now();
+        let is_cut_off = !self.links.iter().any(|link| Self::is_usable(link, now));
+        if is_cut_off != self.is_cut_off {
+            self.is_cut_off = is_cut_off;
+            self.dial();
         }
         self.select_stream();
         self.check_progress();
@@ -322,8 +358,14 @@
             runs: Vec::new(),
             crashes: Vec::new(),
         };
+        self.ticks = self.ticks.wrapping_add(1);
+        let is_follower_turn = self.ticks.is_multiple_of(FOLLOWER_REPORT_TICKS);
         for link in &self.links {
-            let report = if Some(link.link.id) == leader {
+            let is_leader = Some(link.link.id) == leader;
+            if !is_leader && !is_follower_turn {
+                continue;
+            }
+            let report = if is_leader {
                 let heat = self.take_request_counts();
                 let runs = self.take_answered();
                 EntryReport { heat, runs, crashes: crashes.clone(), ..base.clone() }
@@ -356,6 +398,14 @@
     }
 }
 
+/// Waits until a time; forever if there is none.
+async fn until(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Delivers an order to a target on behalf of the control leader, which cannot reach the target
 /// itself.
 async fn relay_order(
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -29,6 +29,7 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::GatewaySettings;
 use crate::entry::admission::SendPermit;
@@ -36,6 +37,8 @@
 use crate::ports::ProtocolAdapter;
 use crate::targets::TargetConnections;
 
+/// Shortest time between two updates of the target pool.
+const POOL_UPDATE_INTERVAL: Duration = Duration::from_millis(30);
 /// Fraction of its part of the global retry budget that this host uses. The remainder allows for
 /// requests that other hosts count in a different window.
 const RETRY_BUDGET_SHARE: f64 = 0.8;
@@ -58,6 +61,10 @@
     /// When a control host in contact with a majority was last heard.
     pub(crate) last_contact: Cell<Timestamp>,
     pub(crate) pool: RefCell<TargetPool>,
+    /// When the pool was last brought up to date.
+    pool_updated_at: Cell<Instant>,
+    /// Whether targets have changed since.
+    is_pool_stale: Cell<bool>,
     pub(crate) queue: RefCell<RequestQueue>,
     /// Limits requests to holders that the control leader reports as overloaded.
     pub(crate) throttle: RefCell<HolderThrottle>,
@@ -70,7 +77,7 @@
     pub(crate) move_started: RefCell<BTreeMap<(ServiceName, u16), Timestamp>>,
     /// Number of requests by service and key since the last report.
     pub(crate) request_counts: RefCell<BTreeMap<(ServiceName, u16), u32>>,
-    pub(crate) preferred_targets: RefCell<PreferredTargets>,
+    preferred_targets: RefCell<PreferredTargets>,
     /// Number of entry hosts in all zones, as reported by control hosts.
     pub(crate) host_count: Cell<usize>,
     /// Notified when a change may let a queued request start.
@@ -96,6 +103,8 @@
             has_caught_up: Cell::new(false),
             last_contact: Cell::new(Timestamp::ZERO),
             pool: RefCell::new(pool),
+            pool_updated_at: Cell::new(Instant::now()),
+            is_pool_stale: Cell::new(false),
             queue: RefCell::default(),
             throttle: RefCell::default(),
             waiters: RefCell::default(),
@@ -151,6 +160,7 @@
             state.targets().len(),
         );
         if self.learned.borrow_mut().install(index, state) == LearnOutcome::Advanced {
+            self.is_pool_stale.set(true);
             self.refresh_from_state();
         }
     }
@@ -166,6 +176,9 @@
         let mut version = self.state().config_version();
         let inspect = |command: &FleetCommand, state: &FleetState| {
             log_command(command);
+            let is_about_target =
+                matches!(command, FleetCommand::PutTarget(_) | FleetCommand::RemoveTarget { .. });
+            self.is_pool_stale.set(self.is_pool_stale.get() || is_about_target);
             if state.config_version() != version {
                 log::info!(
                     "event=config_in_force version={} was={version}",
@@ -181,12 +194,44 @@
         outcome != LearnOutcome::Incomplete
     }
 
+    /// When the pool of targets is due to be brought up to date; `None` if it is.
+    ///
+    /// An update costs time for every target, and at the start of a large system hundreds of targets
+    /// announce themselves one after the other, so updates in quick succession are joined.
+    pub(crate) fn pool_due_at(&self) -> Option<Instant> {
+        let due_at = self.pool_updated_at.get() + POOL_UPDATE_INTERVAL;
+        self.is_pool_stale.get().then_some(due_at)
+    }
+
+    /// Brings the pool of targets up to date if that is due.
+    pub(crate) fn update_pool(&self) {
+        let now = Instant::now();
+        if self.pool_due_at().is_none_or(|due_at| now < due_at) {
+            return;
+        }
+        self.is_pool_stale.set(false);
+        self.pool_updated_at.set(now);
+        let state = self.state();
+        let preferred = self.preferred_targets.borrow();
+        self.pool.borrow_mut().update(self.now(), state.targets(), &preferred);
+        self.admission_wakeup.notify_one();
+    }
+
+    /// Sets which targets this host prefers.
+    pub(crate) fn set_preferred_targets(&self, preferred: PreferredTargets) {
+        if *self.preferred_targets.borrow() != preferred {
+            *self.preferred_targets.borrow_mut() = preferred;
+            self.is_pool_stale.set(true);
+            self.update_pool();
+        }
+    }
+
     /// Updates everything derived from the state: the target pool, metrics, pending moves, and
     /// queued requests.
-    pub(crate) fn refresh_from_state(&self) {
+    fn refresh_from_state(&self) {
+        self.update_pool();
         let now = self.now();
         let state = self.state();
-        self.pool.borrow_mut().update(now, state.targets(), &self.preferred_targets.borrow());
         self.metrics.config_version.set(state.config_version().0 as i64);
         self.metrics.state_index.set(self.applied() as i64);
         let mut moves = std::mem::take(&mut *self.move_started.borrow_mut());
--- a/crates/gw-gateway/src/link/dialed_peers.rs
+++ b/crates/gw-gateway/src/link/dialed_peers.rs
@@ -43,9 +43,4 @@
     pub(crate) fn contains(&self, peer: &SocketAddr) -> bool {
         self.dialed.contains_key(peer)
     }
-
-    /// Whether no connection is maintained.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.dialed.is_empty()
-    }
 }
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -90,10 +90,15 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct HeadDetails {
     pub(crate) replicas: Vec<ReplicaRecord>,
-    /// Connected entry hosts in the receiver's availability zone.
+    /// Connected entry hosts in the receiver's availability zone. Complete on the leader and on
+    /// control hosts of that zone.
     pub(crate) zone_hosts: Vec<HostName>,
     /// Requests that crash targets, merged from the reports of all entry hosts.
     pub(crate) crashes: Vec<QuarantineEntry>,
+    /// Zones of the connected control hosts, by their address in `replicas`.
+    pub(crate) control_zones: Vec<(SocketAddr, ZoneName)>,
+    /// Address of the leader that the control host follows, or its own.
+    pub(crate) leader: Option<SocketAddr>,
 }
 
 /// Fraction of the requests for an overloaded holder's keys that entry hosts may send to it.
@@ -114,7 +119,8 @@
     pub(crate) is_current: bool,
     /// Whether the control host is the confirmed leader.
     pub(crate) is_leader: bool,
-    /// Number of connected entry hosts in all zones.
+    /// Number of connected entry hosts in all zones. Complete only on the leader, which all of them
+    /// connect to.
     pub(crate) host_count: u32,
     /// From the leader: holders that receive more requests than they can process, sorted by holder.
     pub(crate) shares: Vec<ShareReport>,
