feat(gw-gateway): large responses are paced below the rate of the host's link

Downloads of 130 to 300 KB, 2 to 6 a second on a link of 5.4 Mbit/s, each occupy the link for 0.2 s and more; small responses and control traffic stood behind them. Change: LinkPacer lets large responses use 0.7 of the link, in pieces of 8 KiB; TransferLoad bounds how many are forwarded at the same time by the receive windows that fit the link (2 at 5.4 Mbit/s, 256 at 1 Gbit/s). Others wait within their objective, or are refused at once with the expected wait. Responses of routes with large responses are streamed from 16 KiB on. The rate comes from the settings (limits.link-mbps).

--- a/crates/gw-balance/src/lib.rs
+++ b/crates/gw-balance/src/lib.rs
@@ -3,7 +3,8 @@
 //! Every entry host sends requests to targets directly. [`TargetPool`] tracks each target by this
 //! host's own requests: response times, requests in flight and failures. [`HolderThrottle`] limits
 //! the requests to overloaded holders of keys. [`RequestQueue`] holds requests that wait for a free
-//! target, most urgent first. The crate does no I/O and reads no clock: callers pass in the current
+//! target, most urgent first. [`LinkPacer`] and [`TransferLoad`] keep large responses from filling the
+//! host's link. The crate does no I/O and reads no clock: callers pass in the current
 //! time.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
@@ -11,18 +12,22 @@
 mod answered_requests;
 mod attempt_outcome;
 mod holder_throttle;
+mod link_pacer;
 mod preferred_targets;
 mod request_queue;
 mod service_targets;
 mod target_pool;
 mod target_view;
+mod transfer_load;
 
 pub use answered_requests::AnsweredRequests;
 pub use attempt_outcome::AttemptOutcome;
 pub use holder_throttle::HolderThrottle;
+pub use link_pacer::LinkPacer;
 pub use preferred_targets::PreferredTargets;
 pub use request_queue::RequestQueue;
 pub use request_queue::WaitingRequest;
 pub use target_pool::HolderAvailability;
 pub use target_pool::TargetPool;
 pub use target_view::TargetView;
+pub use transfer_load::TransferLoad;
--- a/crates/gw-gateway/src/callers/caller_connection.rs
+++ b/crates/gw-gateway/src/callers/caller_connection.rs
@@ -58,6 +58,14 @@
     }
 }
 
+/// How a connection ends.
+enum ConnectionEnd {
+    /// After a response that announced it.
+    AfterResponse,
+    /// While no request is under way.
+    Idle,
+}
+
 /// What a connection waits for.
 enum ConnectionEvent {
     Response(Response<ResponseBody>),
@@ -117,7 +125,10 @@
         }
         let (mut reader, mut writer) = stream.into_split();
         match self.run(&mut reader, &mut writer).await {
-            Ok(()) => linger(&mut reader, &mut writer).await,
+            Ok(ConnectionEnd::AfterResponse) => linger(&mut reader, &mut writer).await,
+            // Bytes that arrive now are not read, so that the caller can tell that its request was
+            // not either.
+            Ok(ConnectionEnd::Idle) => {}
             Err(cause) => {
                 log::debug!("event=caller_connection_failed peer={} cause=\"{cause}\"", self.peer);
                 // A response without a length would look complete if the connection just ended.
@@ -136,12 +147,12 @@
         &mut self,
         reader: &mut OwnedReadHalf,
         writer: &mut OwnedWriteHalf,
-    ) -> Result<(), String> {
+    ) -> Result<ConnectionEnd, String> {
         loop {
             self.start_requests();
             if self.pending.is_empty() {
                 if !self.reads_requests {
-                    return Ok(());
+                    return Ok(ConnectionEnd::AfterResponse);
                 }
                 if self.parser.awaits_continue() {
                     ResponseEncoder::put_continue(&mut self.output);
@@ -156,17 +167,34 @@
                 ConnectionEvent::Received(0) => return Err("closed by the caller".to_owned()),
                 ConnectionEvent::Received(_) => {}
                 ConnectionEvent::Failed(cause) => return Err(cause),
-                ConnectionEvent::TimedOut => return Ok(()),
-                ConnectionEvent::Closing => {
+                ConnectionEvent::TimedOut => return Ok(ConnectionEnd::Idle),
+                ConnectionEvent::Closing if self.expects_request(reader) => {
                     self.is_closing = true;
-                    let is_awaited = self.read_count == 0 || self.parser.is_within_request();
-                    self.reads_requests &= is_awaited;
                     self.active_at = Instant::now();
                 }
+                ConnectionEvent::Closing if self.pending.is_empty() => {
+                    return Ok(ConnectionEnd::Idle);
+                }
+                ConnectionEvent::Closing => {
+                    self.is_closing = true;
+                    self.reads_requests = false;
+                }
             }
         }
     }
 
+    /// Whether a request is on its way on this connection when the host closes: the first one of a
+    /// new connection, or one of which a part has arrived.
+    fn expects_request(&mut self, reader: &OwnedReadHalf) -> bool {
+        if !self.reads_requests {
+            return false;
+        }
+        let buffer = self.parser.buffer();
+        buffer.reserve(READ_BYTES);
+        let has_arrived = matches!(reader.try_read_buf(buffer), Ok(count) if count > 0);
+        has_arrived || self.read_count == 0 || self.parser.is_within_request()
+    }
+
     /// Starts the handlers of complete requests.
     fn start_requests(&mut self) {
         while self.reads_requests && self.pending.len() < MAX_PIPELINE_DEPTH {
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -180,7 +180,7 @@
 }
 
 /// Longest time that the request may wait in the queue and still be worth sending.
-fn max_wait(host: &EntryHost, now: Timestamp, params: &AdmissionParams) -> Duration {
+pub(crate) fn max_wait(host: &EntryHost, now: Timestamp, params: &AdmissionParams) -> Duration {
     let response_time = host.pool.borrow().typical_response_time(now, &params.service);
     let until = |at: Instant| at.saturating_duration_since(Instant::now());
     let before_deadline =
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -33,6 +33,7 @@
 
 use crate::GatewaySettings;
 use crate::entry::admission::SendPermit;
+use crate::entry::transfer_gate::TransferGate;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::ports::ProtocolAdapter;
 use crate::targets::TargetConnections;
@@ -70,6 +71,8 @@
     pub(crate) throttle: RefCell<HolderThrottle>,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<SendPermit>>>,
     pub(crate) connections: TargetConnections,
+    /// Keeps large responses from filling the link.
+    pub(crate) transfers: TransferGate,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
     /// Requests that are in flight at targets.
     pub(crate) in_flight: RefCell<Vec<(RangeHolder, RequestFingerprint)>>,
@@ -93,6 +96,7 @@
 
 impl EntryHost {
     pub(crate) fn new(settings: GatewaySettings, adapter: Rc<dyn ProtocolAdapter>) -> Rc<Self> {
+        let transfers = TransferGate::new(settings.link_rate);
         let pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
         Rc::new(Self {
             settings: RefCell::new(settings),
@@ -109,6 +113,7 @@
             throttle: RefCell::default(),
             waiters: RefCell::default(),
             connections: TargetConnections::default(),
+            transfers,
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
             in_flight: RefCell::default(),
             move_started: RefCell::default(),
--- a/crates/gw-gateway/src/entry/forwarded_stream.rs
+++ b/crates/gw-gateway/src/entry/forwarded_stream.rs
@@ -10,8 +10,13 @@
 use crate::entry::admission::SendPermit;
 use crate::entry::entry_host::EntryHost;
 use crate::entry::read_request::ReadRequest;
+use crate::entry::transfer_gate::TransferSlot;
 use crate::targets::TargetStream;
 
+/// Largest piece that is passed on at once. Other responses of the host wait for no more than a few
+/// of them.
+const PIECE_BYTES: usize = 8 * 1024;
+
 /// A large response on its way from a target to a caller.
 ///
 /// Holds the target's permit until the response ends, which the request's deadline bounds. If the
@@ -26,8 +31,11 @@
     /// arrives as fast as the caller reads.
     outcome: AttemptOutcome,
     stream: TargetStream,
+    /// Data that was read from the target and is not passed on yet.
+    rest: Bytes,
     /// `None` once the response has ended.
     permit: Option<SendPermit>,
+    _slot: Option<TransferSlot>,
 }
 
 impl ForwardedStream {
@@ -37,6 +45,7 @@
         permit: SendPermit,
         stream: TargetStream,
         outcome: AttemptOutcome,
+        slot: Option<TransferSlot>,
     ) -> Self {
         Self {
             host: host.clone(),
@@ -45,23 +54,34 @@
             started: Instant::now(),
             outcome,
             stream,
+            rest: Bytes::new(),
             permit: Some(permit),
+            _slot: slot,
         }
     }
 
     async fn read_piece(&mut self) -> Result<Option<Bytes>, String> {
-        let piece = self.stream.next_piece().await;
-        match &piece {
-            Ok(Some(piece)) => {
-                self.host.metrics.streamed_bytes.inc_by(piece.len() as u64);
-            }
-            Ok(None) => self.finish("complete", self.outcome),
-            Err(cause) => {
-                self.host.metrics.broken_responses.inc();
-                self.finish(cause, AttemptOutcome::Broken);
+        if self.rest.is_empty() {
+            match self.stream.next_piece().await {
+                Ok(Some(data)) => self.rest = data,
+                Ok(None) => {
+                    self.finish("complete", self.outcome);
+                    return Ok(None);
+                }
+                Err(cause) => {
+                    self.host.metrics.broken_responses.inc();
+                    self.finish(&cause, AttemptOutcome::Broken);
+                    return Err(cause);
+                }
             }
         }
-        piece
+        let piece = self.rest.split_to(PIECE_BYTES.min(self.rest.len()));
+        let wait = self.host.transfers.pace(self.host.now(), piece.len());
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+        self.host.metrics.streamed_bytes.inc_by(piece.len() as u64);
+        Ok(Some(piece))
     }
 
     fn finish(&mut self, end: &str, outcome: AttemptOutcome) {
--- a/crates/gw-gateway/src/entry/mod.rs
+++ b/crates/gw-gateway/src/entry/mod.rs
@@ -9,5 +9,6 @@
 mod request_handler;
 mod run_entry;
 mod target_attempt;
+mod transfer_gate;
 
 pub(crate) use run_entry::run_entry;
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -18,12 +18,14 @@
 use crate::callers::ResponseBody;
 use crate::entry::admission::AdmissionParams;
 use crate::entry::admission::admit;
+use crate::entry::admission::max_wait;
 use crate::entry::entry_host::EntryHost;
 use crate::entry::local_reply::LocalReply;
 use crate::entry::read_request::ReadRequest;
 use crate::entry::read_request::read_request;
 use crate::entry::target_attempt::ForwardOutcome;
 use crate::entry::target_attempt::attempt;
+use crate::entry::transfer_gate::TransferSlot;
 
 /// `Retry-After` when targets refused all attempts.
 const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -143,6 +145,10 @@
             LocalReply::not_executed("holder_overloaded", OVERLOAD_RETRY_AFTER),
         );
     }
+    let mut slot = match enter_transfer(host, request).await {
+        Ok(slot) => slot,
+        Err(refusal) => return refuse(host, request, refusal),
+    };
     let mut tried: Vec<TargetName> = Vec::new();
     let (mut reached, mut unsent) = (0, 0);
     // The reply if no further attempt is made.
@@ -165,7 +171,7 @@
             return refuse(host, request, last.unwrap_or(refusal));
         }
         let target = permit.holder.target.clone();
-        let outcome = attempt(host, request, permit).await;
+        let outcome = attempt(host, request, permit, &mut slot).await;
         let misdirected = matches!(outcome, ForwardOutcome::NotExecuted { misdirected: true, .. });
         let may_try_again =
             matches!(outcome, ForwardOutcome::Unknown { is_connection_fault: true, .. });
@@ -206,6 +212,24 @@
     }
 }
 
+/// Waits until the host's link has room for a large response, if the route has such.
+async fn enter_transfer(
+    host: &EntryHost,
+    request: &ReadRequest,
+) -> Result<Option<TransferSlot>, LocalReply> {
+    if request.rule.repeat != RepeatRule::UntilFirstByte {
+        return Ok(None);
+    }
+    let max_wait = max_wait(host, host.now(), &request.params);
+    match host.transfers.enter(max_wait).await {
+        Ok(slot) => Ok(Some(slot)),
+        Err(wait) => {
+            let retry_after = wait.clamp(REFUSAL_RETRY_AFTER, OVERLOAD_RETRY_AFTER);
+            Err(LocalReply::not_executed("link_busy", retry_after))
+        }
+    }
+}
+
 /// Whether the request is within the fraction of requests that this host may send to the key's
 /// holder. Always true unless the leader reported the holder as overloaded. Requests more urgent
 /// than the service's least urgent routes pass regardless.
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -24,7 +24,9 @@
 use crate::entry::entry_host::EntryHost;
 use crate::entry::forwarded_stream::ForwardedStream;
 use crate::entry::read_request::ReadRequest;
+use crate::entry::transfer_gate::TransferSlot;
 use crate::ports::AttemptMetadata;
+use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
 use crate::targets::StreamedReply;
 use crate::targets::TargetReply;
@@ -34,6 +36,12 @@
 /// it would be unknown.
 const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_secs(1);
 
+/// Largest response, in bytes, that is read completely before it is forwarded: until then a failure
+/// can be repaired by another attempt. A larger one is forwarded as it arrives.
+const MAX_WHOLE_BYTES: usize = 128 * 1024;
+/// The same for routes with large responses, which are forwarded at a limited rate.
+const MAX_WHOLE_DOWNLOAD_BYTES: usize = 16 * 1024;
+
 /// Outcome of one attempt to forward a request.
 pub(crate) enum ForwardOutcome {
     /// The target's response.
@@ -55,11 +63,13 @@
     },
 }
 
-/// Sends a request to the target of `permit` and waits for the response.
+/// Sends a request to the target of `permit` and waits for the response. A large response takes
+/// `slot` with it.
 pub(crate) async fn attempt(
     host: &Rc<EntryHost>,
     request: &ReadRequest,
     permit: SendPermit,
+    slot: &mut Option<TransferSlot>,
 ) -> ForwardOutcome {
     let now = Instant::now();
     let until = request.params.deadline;
@@ -82,7 +92,12 @@
         RepeatRule::Idempotent | RepeatRule::UntilFirstByte => Duration::MAX,
         RepeatRule::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
     };
-    let end = host.connections.exchange(address, outgoing, until, max_idle, || true).await;
+    let max_whole_bytes = match request.rule.repeat {
+        RepeatRule::UntilFirstByte => MAX_WHOLE_DOWNLOAD_BYTES,
+        RepeatRule::Idempotent | RepeatRule::AtMostOnce => MAX_WHOLE_BYTES,
+    };
+    let options = ExchangeOptions { deadline: until, max_idle, max_whole_bytes };
+    let end = host.connections.exchange(address, outgoing, &options, || true).await;
     let concurrent = in_flight.finish();
     log::debug!(
         "event=exchange id={} target={} address={address} end={end:?}",
@@ -91,7 +106,7 @@
     );
     match end {
         ExchangeOutcome::Replied(TargetReply { head, body, elapsed }) => {
-            match classify_reply(host, request, permit, &head, elapsed) {
+            match classify_reply(host, request, permit, &head, Some(body.len() as u64), elapsed) {
                 Ok(permit) => {
                     permit.finish(answered(&head, elapsed));
                     build_response(head, ResponseBody::Whole(body))
@@ -100,10 +115,11 @@
             }
         }
         ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed }) => {
-            match classify_reply(host, request, permit, &head, elapsed) {
+            match classify_reply(host, request, permit, &head, len, elapsed) {
                 Ok(permit) => {
                     let outcome = answered(&head, elapsed);
-                    let stream = ForwardedStream::new(host, request, permit, stream, outcome);
+                    let stream =
+                        ForwardedStream::new(host, request, permit, stream, outcome, slot.take());
                     let body = ResponseBody::Streamed { len, pieces: Box::new(stream) };
                     build_response(head, body)
                 }
@@ -227,6 +243,7 @@
     request: &ReadRequest,
     permit: SendPermit,
     head: &response::Parts,
+    len: Option<u64>,
     elapsed: Duration,
 ) -> Result<SendPermit, ForwardOutcome> {
     let metadata = host.adapter.read_response_metadata(head);
@@ -263,7 +280,7 @@
     host.quarantine.borrow_mut().record_completion(request.fingerprint);
     log::info!(
         "event=answered id={} number={} service={} target={} key={} status={} waited_ms={} \
-         ran_ms={} state={}",
+         ran_ms={} bytes={} state={}",
         request.id(),
         request.number,
         request.params.service,
@@ -272,6 +289,7 @@
         status.as_u16(),
         request.started.elapsed().saturating_sub(elapsed).as_millis(),
         elapsed.as_millis(),
+        len.map_or_else(|| "unknown".to_owned(), |len| len.to_string()),
         host.applied(),
     );
     Ok(permit)
--- a/crates/gw-gateway/src/settings.rs
+++ b/crates/gw-gateway/src/settings.rs
@@ -61,6 +61,8 @@
     pub retry_floor: f64,
     /// Longest time for which one grant lets a target serve keys.
     pub max_lease_duration: Duration,
+    /// Rate of this host's network link in bytes per second; `None` if it is not limited.
+    pub link_rate: Option<f64>,
     /// Time from the stop signal until the platform kills the process.
     pub grace_time: Duration,
 }
--- a/crates/gw-gateway/src/targets/exchange.rs
+++ b/crates/gw-gateway/src/targets/exchange.rs
@@ -2,9 +2,21 @@
 
 use bytes::Bytes;
 use http::response;
+use tokio::time::Instant;
 
 use crate::targets::TargetStream;
 
+/// Limits of an exchange with a target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExchangeOptions {
+    /// Until when a response is waited for.
+    pub(crate) deadline: Instant,
+    /// A pooled connection is used only if it was idle for less than this.
+    pub(crate) max_idle: Duration,
+    /// Largest body, in bytes, that is read completely before the response is returned.
+    pub(crate) max_whole_bytes: usize,
+}
+
 /// A complete response of a target.
 #[derive(Debug)]
 pub(crate) struct TargetReply {
--- a/crates/gw-gateway/src/targets/order_sender.rs
+++ b/crates/gw-gateway/src/targets/order_sender.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::ports::ProtocolAdapter;
+use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
 use crate::targets::TargetConnections;
 
@@ -19,6 +20,9 @@
 /// ended.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Largest response to an order, in bytes.
+const MAX_REPLY_BYTES: usize = 16 * 1024;
+
 /// Sends an order to a target. The order is dropped if `may_send` returns `false` right before it
 /// would be handed to the connection.
 pub(crate) async fn send_order(
@@ -49,8 +53,12 @@
         OrderKind::Grant { .. } => GRANT_TIMEOUT,
         OrderKind::Release => RELEASE_TIMEOUT,
     };
-    let deadline = Instant::now() + limit;
-    match connections.exchange(address, request, deadline, Duration::MAX, may_send).await {
+    let options = ExchangeOptions {
+        deadline: Instant::now() + limit,
+        max_idle: Duration::MAX,
+        max_whole_bytes: MAX_REPLY_BYTES,
+    };
+    match connections.exchange(address, request, &options, may_send).await {
         ExchangeOutcome::Replied(reply) => {
             adapter.read_order_response(order, reply.head.status, &reply.head.headers)
         }
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
 use crate::targets::StreamedReply;
 use crate::targets::TargetReply;
@@ -37,10 +38,6 @@
 /// Largest number of idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = 3;
 
-/// Largest response, in bytes, that is read completely before it is forwarded: until then a failure
-/// can be repaired by another attempt. A larger one is forwarded as it arrives.
-const MAX_WHOLE_BYTES: usize = 128 * 1024;
-
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub(super) struct TargetConnection {
@@ -125,21 +122,20 @@
         Ok(TargetConnection { sender, driver })
     }
 
-    /// Sends a request and waits for the response until `deadline`; a large response may still be
-    /// arriving then. A pooled connection is
-    /// used only if it was idle for less than `max_idle`. `may_send` is evaluated right before the
-    /// request is handed to the connection; if it returns `false`, nothing is sent.
+    /// Sends a request and waits for the response; a large response may still be arriving then.
+    /// `may_send` is evaluated right before the request is handed to the connection; if it returns
+    /// `false`, nothing is sent.
     pub(crate) async fn exchange(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        deadline: Instant,
-        max_idle: Duration,
+        options: &ExchangeOptions,
         may_send: impl Fn() -> bool,
     ) -> ExchangeOutcome {
+        let deadline = options.deadline;
         let mut request = request;
         loop {
-            let pooled = self.take_idle(address, max_idle);
+            let pooled = self.take_idle(address, options.max_idle);
             let is_pooled = pooled.is_some();
             let mut connection = match pooled {
                 Some(connection) => connection,
@@ -162,7 +158,7 @@
             match sent {
                 Err(_) => return ExchangeOutcome::TimedOut,
                 Ok(Ok(response)) => {
-                    let reply = self.read_reply(address, connection, response, started, deadline);
+                    let reply = self.read_reply(address, connection, response, started, options);
                     return reply.await.unwrap_or_else(|cause| broken(cause, is_pooled));
                 }
                 Ok(Err(mut failed)) => match failed.take_message() {
@@ -181,13 +177,14 @@
         connection: TargetConnection,
         response: Response<Incoming>,
         started: Instant,
-        deadline: Instant,
+        options: &ExchangeOptions,
     ) -> Result<ExchangeOutcome, String> {
+        let ExchangeOptions { deadline, max_whole_bytes, .. } = *options;
         let (head, mut body) = response.into_parts();
         let len = body.size_hint().exact();
         let mut received = BytesMut::new();
         let is_large = loop {
-            if len.is_some_and(|len| len > MAX_WHOLE_BYTES as u64) {
+            if len.is_some_and(|len| len > max_whole_bytes as u64) {
                 break true;
             }
             let frame = match timeout_at(deadline, body.frame()).await {
@@ -200,7 +197,7 @@
             if let Ok(data) = frame.into_data() {
                 received.extend_from_slice(&data);
             }
-            if received.len() > MAX_WHOLE_BYTES {
+            if received.len() > max_whole_bytes {
                 break true;
             }
         };
