--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -155,8 +155,7 @@
         positions.iter().map(|position| &self.targets[*position])
     }
 
-    /// Returns the median response time of a service's targets in seconds. Computed anew after
-    /// [`MAX_TYPICAL_AGE`].
+    /// Returns the median response time of a service's targets in seconds, at most 50 ms old.
     pub fn typical_response_time(&self, now: Timestamp, service: &ServiceName) -> f64 {
         let Some(group) = self.group(service) else { return DEFAULT_RESPONSE_SECONDS };
         if let Some((computed_at, typical)) = group.typical.get()
