--- a/crates/gw-fleet/src/learned_state.rs
+++ b/crates/gw-fleet/src/learned_state.rs
@@ -35,6 +35,11 @@
         self.applied
     }
 
+    /// Whether a command did not fit, so that the complete state has to be requested.
+    pub fn is_damaged(&self) -> bool {
+        self.is_damaged
+    }
+
     /// Whether the state contains everything up to `index`.
     pub fn contains(&self, index: u64) -> bool {
         !self.is_damaged && self.applied > 0 && self.applied >= index
--- a/crates/gw-fleet/tests/learned_state.rs
+++ b/crates/gw-fleet/tests/learned_state.rs
@@ -144,5 +144,6 @@
         assert_eq!(learned.state().config_version().0, case.version, "{}", case.name);
         assert_eq!(learned.applied(), case.applied, "{}", case.name);
         assert_eq!(learned.fetch_index(), case.fetch_index, "{}", case.name);
+        assert_eq!(learned.is_damaged(), case.fetch_index == 0, "{}", case.name);
     }
 }
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -196,6 +196,9 @@
         if outcome == LearnOutcome::Advanced {
             self.refresh_from_state();
         }
+        if outcome == LearnOutcome::Incomplete && self.learned.borrow().is_damaged() {
+            log::error!("event=config_change_unfit held={version}");
+        }
         outcome != LearnOutcome::Incomplete
     }
 
