fix(gw-gateway): the deadline also ends the transfer to a slow reader

Cause, found in the last read: only reading from the target was bound by the deadline; a caller that took a few bytes every ten seconds kept the transfer, and with it a slot of the target, for hours. Change: passing on a piece of a large response is bound by it too.

--- a/crates/gw-gateway/src/callers/caller_connection.rs
+++ b/crates/gw-gateway/src/callers/caller_connection.rs
@@ -297,10 +297,11 @@
             ResponseBody::Whole(body) => {
                 ResponseEncoder::put_piece(framing, &body, &mut self.output);
             }
-            ResponseBody::Streamed { mut pieces, .. } => {
+            ResponseBody::Streamed { mut pieces, deadline, .. } => {
                 while let Some(piece) = pieces.next_piece().await? {
                     ResponseEncoder::put_piece(framing, &piece, &mut self.output);
-                    self.flush(writer).await?;
+                    let flushed = timeout_at(deadline, self.flush(writer)).await;
+                    flushed.unwrap_or_else(|_| Err("the caller reads too slowly".to_owned()))?;
                 }
             }
         }
--- a/crates/gw-gateway/src/callers/response_body.rs
+++ b/crates/gw-gateway/src/callers/response_body.rs
@@ -2,6 +2,7 @@
 use std::pin::Pin;
 
 use bytes::Bytes;
+use tokio::time::Instant;
 
 /// Source of the pieces of a response that is forwarded as it arrives.
 pub(crate) trait PieceSource {
@@ -19,6 +20,8 @@
         /// Length of the body, if it is known.
         len: Option<u64>,
         pieces: Box<dyn PieceSource>,
+        /// When the transfer is cut off, so that a caller that reads slowly does not occupy a target.
+        deadline: Instant,
     },
 }
 
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -120,7 +120,8 @@
                     let outcome = answered(&head, elapsed);
                     let stream =
                         ForwardedStream::new(host, request, permit, stream, outcome, slot.take());
-                    let body = ResponseBody::Streamed { len, pieces: Box::new(stream) };
+                    let pieces = Box::new(stream);
+                    let body = ResponseBody::Streamed { len, pieces, deadline: until };
                     build_response(head, body)
                 }
                 Err(outcome) => outcome,
