refactor(gw-gateway): the small server has no limits that nobody sets

Callers have connections of their own since requests are read ahead, so that readiness, metrics and control calls all passed the default limits. The parameter and its type go; a caller's connection without a configuration uses the same two constants. Two comments are wrapped. The behaviour is the same.

--- a/crates/gw-balance/src/lib.rs
+++ b/crates/gw-balance/src/lib.rs
@@ -3,9 +3,8 @@
 //! Every entry host sends requests to targets directly. [`TargetPool`] tracks each target by this
 //! host's own requests: response times, requests in flight and failures. [`HolderThrottle`] limits
 //! the requests to overloaded holders of keys. [`RequestQueue`] holds requests that wait for a free
-//! target, most urgent first. [`LinkPacer`] and [`TransferLoad`] keep large responses from filling the
-//! host's link. The crate does no I/O and reads no clock: callers pass in the current
-//! time.
+//! target, most urgent first. [`LinkPacer`] and [`TransferLoad`] keep large responses from filling
+//! the host's link. The crate does no I/O and reads no clock: callers pass in the current time.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
--- a/crates/gw-gateway/src/control/granter_set.rs
+++ b/crates/gw-gateway/src/control/granter_set.rs
@@ -17,8 +17,9 @@
 use crate::control::target_monitor::TargetMonitor;
 use crate::link::ServiceHeat;
 
-/// Largest number of orders that were sent a short time ago and have not completed. A new leader has to grant all ranges again; sending all
-/// grants at once would delay its heartbeats until it loses the leadership.
+/// Largest number of orders that were sent a short time ago and have not completed. A new leader
+/// has to grant all ranges again; sending all grants at once would delay its heartbeats until it
+/// loses the leadership.
 const MAX_CONCURRENT_ORDERS: usize = 40;
 
 struct ServiceGranter {
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -20,7 +20,6 @@
 use crate::control::peer_links::greet_entry_hosts;
 use crate::control::peer_links::send_heads;
 use crate::http_server::ConnectionCount;
-use crate::http_server::ServerLimits;
 use crate::http_server::serve;
 use crate::link::LinkMessage;
 use crate::link::accept_links;
@@ -65,7 +64,7 @@
     let shared = host.clone();
     let handler = Rc::new(move |request, _peer| handle_call(shared.clone(), request));
     let count = ConnectionCount::default();
-    spawn_local(serve(listener, ServerLimits::default, count.clone(), closing, handler));
+    spawn_local(serve(listener, count.clone(), closing, handler));
     let mut links = PeerLinks::new(host.clone(), events);
     let unreachable = Rc::new(UnreachableTargets::default());
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -26,6 +26,8 @@
 use crate::entry::target_attempt::ForwardOutcome;
 use crate::entry::target_attempt::attempt;
 use crate::entry::transfer_gate::TransferSlot;
+use crate::http_server::DEFAULT_HEAD_BYTES;
+use crate::http_server::DEFAULT_IDLE_TIMEOUT;
 
 /// `Retry-After` when targets refused all attempts.
 const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -41,8 +43,8 @@
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
 /// Limits of a caller's connection while this host has no configuration.
 const DEFAULT_CALLER_LIMITS: CallerLimits = CallerLimits {
-    parser: ParserLimits { head_bytes: 16 * 1024, body_bytes: 1024 * 1024 },
-    idle_timeout: Duration::from_secs(30),
+    parser: ParserLimits { head_bytes: DEFAULT_HEAD_BYTES, body_bytes: 1024 * 1024 },
+    idle_timeout: DEFAULT_IDLE_TIMEOUT,
 };
 /// Wait for a newer state after a target reported that it does not hold the key.
 const MISDIRECTED_DELAY: Duration = Duration::from_millis(40);
--- a/crates/gw-gateway/src/entry/run_entry.rs
+++ b/crates/gw-gateway/src/entry/run_entry.rs
@@ -18,7 +18,6 @@
 use crate::entry::entry_host::EntryHost;
 use crate::entry::request_handler::RequestHandler;
 use crate::http_server::ConnectionCount;
-use crate::http_server::ServerLimits;
 use crate::http_server::serve;
 use crate::ports::ProtocolAdapter;
 use crate::ports::SettingsSource;
@@ -94,5 +93,5 @@
     });
     // Readiness checks are served until the process ends.
     let (_open, closing) = watch::channel(false);
-    serve(listener, ServerLimits::default, ConnectionCount::default(), closing, handler).await;
+    serve(listener, ConnectionCount::default(), closing, handler).await;
 }
--- a/crates/gw-gateway/src/http_server.rs
+++ b/crates/gw-gateway/src/http_server.rs
@@ -23,22 +23,10 @@
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Largest request head, in bytes, when no limit is configured.
-const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
-
-/// Limits of a server's connections.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ServerLimits {
-    /// Largest request head, in bytes.
-    pub(crate) head_bytes: usize,
-    /// Longest time that a connection may be idle or take to deliver a request head.
-    pub(crate) idle_timeout: Duration,
-}
-
-impl Default for ServerLimits {
-    fn default() -> Self {
-        Self { head_bytes: DEFAULT_HEAD_BYTES, idle_timeout: Duration::from_secs(30) }
-    }
-}
+pub(crate) const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
+/// Longest time that a connection may be idle or take to deliver a request head, when no limit is
+/// configured.
+pub(crate) const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Number of open connections of a server; clones share the count.
 #[derive(Clone, Debug, Default)]
@@ -73,7 +61,6 @@
 /// The handler's future is dropped when the client disconnects.
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
-    limits: impl Fn() -> ServerLimits,
     count: ConnectionCount,
     mut closing: watch::Receiver<bool>,
     handler: Rc<H>,
@@ -88,7 +75,7 @@
                 Ok((stream, peer)) => {
                     let open = ConnectionGuard::new(count.clone());
                     let (handler, closing) = (handler.clone(), shared.clone());
-                    spawn_local(serve_connection(stream, peer, limits(), closing, handler, open));
+                    spawn_local(serve_connection(stream, peer, closing, handler, open));
                 }
                 Err(error) => {
                     log::warn!("event=accept_failed cause=\"{error}\"");
@@ -103,7 +90,6 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     peer: SocketAddr,
-    limits: ServerLimits,
     mut closing: watch::Receiver<bool>,
     handler: Rc<H>,
     _open: ConnectionGuard,
@@ -120,8 +106,8 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.head_bytes.max(8 * 1024))
+        .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+        .max_buf_size(DEFAULT_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
--- a/crates/gw-gateway/src/process.rs
+++ b/crates/gw-gateway/src/process.rs
@@ -15,7 +15,6 @@
 use crate::control::run_control;
 use crate::entry::run_entry;
 use crate::http_server::ConnectionCount;
-use crate::http_server::ServerLimits;
 use crate::http_server::serve;
 use crate::ports::ProtocolAdapter;
 use crate::ports::SettingsSource;
@@ -101,5 +100,5 @@
         async move { Response::new(Full::new(body)) }
     });
     let (_open, closing) = watch::channel(false);
-    serve(listener, ServerLimits::default, ConnectionCount::default(), closing, handler).await;
+    serve(listener, ConnectionCount::default(), closing, handler).await;
 }
