feat(gw-gateway): log lines of attempts name the route

A report of users counts served requests by route, which the logs could not tell: only refusals named it.

--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -164,10 +164,11 @@
 
 fn log_failure(request: &ReadRequest, permit: &SendPermit, end: &str, cause: &str) {
     log::info!(
-        "event=attempt_failed id={} number={} service={} target={} address={} end={end} \
+        "event=attempt_failed id={} number={} route={} service={} target={} address={} end={end} \
          cause=\"{cause}\"",
         request.id(),
         request.number,
+        request.rule.name,
         request.params.service,
         permit.holder,
         permit.address,
@@ -280,10 +281,11 @@
     }
     host.quarantine.borrow_mut().record_completion(request.fingerprint);
     log::info!(
-        "event=answered id={} number={} service={} target={} key={} status={} waited_ms={} \
-         ran_ms={} bytes={} state={}",
+        "event=answered id={} number={} route={} service={} target={} key={} status={} \
+         waited_ms={} ran_ms={} bytes={} state={}",
         request.id(),
         request.number,
+        request.rule.name,
         request.params.service,
         permit.holder,
         request.params.key.map_or(-1, i32::from),
