--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -111,6 +111,8 @@
     /// Overloaded holders that were last reported to entry hosts.
     pub(crate) overloaded: RefCell<Vec<RangeHolder>>,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
+    /// When this host was last in contact with a majority, or last logged that it is not.
+    pub(crate) majority_seen_at: Cell<Timestamp>,
     /// When this leader first saw each other replica as a member.
     pub(crate) first_seen: RefCell<BTreeMap<HostId, Timestamp>>,
     /// Calls to other hosts that wait for a reply.
@@ -146,6 +148,7 @@
             granters_stepped_at: Cell::new(Timestamp::ZERO),
             overloaded: RefCell::default(),
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
+            majority_seen_at: Cell::new(clock.now()),
             first_seen: RefCell::default(),
             pending_calls: RefCell::default(),
             is_stopping: Cell::new(false),
--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use gw_agreement::MembershipChange;
 use gw_fleet::FleetCommand;
@@ -14,6 +15,9 @@
 use crate::link::LinkHandle;
 use crate::link::LinkMessage;
 
+/// Interval at which a host without contact with a majority logs whom it reaches.
+const LEADERLESS_LOG_INTERVAL: Duration = Duration::from_secs(2);
+
 impl ControlHost {
     /// Loads this replica's identity, or creates one: that of an initial member at the first start
     /// of the system, otherwise that of a new replica which has to join.
@@ -197,6 +201,38 @@
             .collect()
     }
 
+    /// Logs the voters and which of them are connected while this host has no contact with a
+    /// majority.
+    pub(crate) fn log_lost_majority(&self) {
+        let now = self.now();
+        if self.is_current() {
+            self.majority_seen_at.set(now);
+            return;
+        }
+        if now.since(self.majority_seen_at.get()) < LEADERLESS_LOG_INTERVAL {
+            return;
+        }
+        self.majority_seen_at.set(now);
+        let replica = self.replica.borrow();
+        let Some(node) = replica.as_ref().map(|replica| &replica.node) else {
+            let identity = self.identity.borrow();
+            let id = identity.as_ref().and_then(|identity| identity.id);
+            log::warn!("event=majority_lost replica=none id={id:?}");
+            return;
+        };
+        let voters = node.membership().voters();
+        let is_reached = |id: &&HostId| **id == node.id() || self.link_to(**id).is_some();
+        let reached: Vec<_> = voters.iter().filter(is_reached).collect();
+        log::warn!(
+            "event=majority_lost replica={} term={} voters={voters:?} reached={reached:?} \
+             last_index={} applied={}",
+            node.id().0,
+            node.term().0,
+            node.last_index().0,
+            node.last_applied().0,
+        );
+    }
+
     fn record_first_members(&self) {
         let Some(identity) = self.identity.borrow().clone() else { return };
         let port = self.control_address.port();
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -121,6 +121,7 @@
         return;
     }
     host.save_peers();
+    host.log_lost_majority();
     links.dial();
     send_heads(host, |_| true);
     forward_contacts(host);
