fix(gw-gateway): saved addresses of replicas do not go back to an older state

Members that had joined since could not be reached, neither to ask for their vote nor to give one.

Class: derived data that is kept outside the log was overwritten from a state that is older than it. Fix: the saved addresses carry the log index that they were taken from, which never decreases; a joining replica also keeps those of its welcome until its state contains itself.

--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -37,7 +37,8 @@
                 let first_members: Vec<_> = (1..=seeds.len() as u16).map(HostId).collect();
                 let peers = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), settings.peer_port));
                 let peers = first_members.iter().copied().zip(peers).collect();
-                ReplicaIdentity { folder: u64::from(id.0), id: Some(id), first_members, peers }
+                let folder = u64::from(id.0);
+                ReplicaIdentity { folder, id: Some(id), first_members, peers, peers_index: 0 }
             }
             None => ReplicaIdentity::unassigned(),
         };
@@ -47,15 +48,21 @@
         Ok(())
     }
 
-    /// Saves the addresses of the other replicas, which are needed after a restart.
+    /// Saves the addresses of the other replicas, which are needed after a restart, unless those
+    /// saved are from a later state. A state without this replica is older than its welcome.
     pub(crate) fn save_peers(&self) {
-        let replicas = self.log.borrow().state().replicas().to_vec();
-        let peers: Vec<_> = replicas.iter().map(|known| (known.id, known.peers)).collect();
+        let (applied, peers) = {
+            let log = self.log.borrow();
+            (log.applied(), peer_addresses(log.state().replicas()))
+        };
         let Some(mut identity) = self.identity.borrow().clone() else { return };
-        if peers.is_empty() || identity.peers == peers {
+        let is_member = peers.iter().any(|(id, _)| Some(*id) == identity.id);
+        if !is_member || identity.peers == peers || applied <= identity.peers_index {
             return;
         }
+        log::info!("event=peers_saved index={applied} peers={peers:?}");
         identity.peers = peers;
+        identity.peers_index = applied;
         self.save_identity(identity);
     }
 
@@ -122,7 +129,7 @@
             return;
         }
         identity.id = Some(id);
-        identity.peers = replicas.iter().map(|known| (known.id, known.peers)).collect();
+        identity.peers = peer_addresses(&replicas);
         self.save_identity(identity);
     }
 
@@ -246,3 +253,7 @@
         self.propose(FleetCommand::SetFirstReplicas(first.collect()));
     }
 }
+
+fn peer_addresses(replicas: &[ReplicaRecord]) -> Vec<(HostId, SocketAddr)> {
+    replicas.iter().map(|known| (known.id, known.peers)).collect()
+}
--- a/crates/gw-gateway/src/control/replica_identity.rs
+++ b/crates/gw-gateway/src/control/replica_identity.rs
@@ -29,13 +29,18 @@
     /// Last known replicas and their addresses. After a restart of the whole group, replicas need
     /// them to reach each other before the log can be read.
     pub(crate) peers: Vec<(HostId, SocketAddr)>,
+    /// Log index of the state that `peers` was taken from; 0 if it was not taken from a state.
+    /// Never decreases: a replica that restarts applies its last snapshot first, which may lack
+    /// members that joined later.
+    #[serde(default)]
+    pub(crate) peers_index: u64,
 }
 
 impl ReplicaIdentity {
     /// Creates the identity of a replica that has to join a running group.
     pub(crate) fn unassigned() -> Self {
         let (first_members, peers) = (Vec::new(), Vec::new());
-        Self { folder: rand::random(), id: None, first_members, peers }
+        Self { folder: rand::random(), id: None, first_members, peers, peers_index: 0 }
     }
 
     /// Reads the identity from the data directory; `None` if there is none.
