fix(gw-gateway): a replaced control host leaves the group once its successor has joined

Cause: a new host joins within a second, while the one that it replaces has been silent for too short to count as lost; it is added, and the lost one stays a voter for 8 s, counted anew by each new leader. A group of four with one lost member survives no further loss, though the platform allows one from 4 s after the successor's start.

Class: repair of the group's redundancy is slower than the fault model. Fix: a ReplacementWindow tells that the group has grown; then a replica that is silent for 2.5 s is removed if three others remain. A new leader counts silence from when the host was last heard over a connection, and members are reconciled at each tick. A host that is told to stop says so to the leader, which removes it at once in that window; it does not join again before it ends. Elsewhere: the same rule with a newcomer that waits was there already.

--- a/crates/gw-fleet/src/replica_view.rs
+++ b/crates/gw-fleet/src/replica_view.rs
@@ -2,7 +2,7 @@
 
 use gw_types::HostId;
 
-/// Silence after which a replica counts as lost while a new host wants to join. Longer than an
+/// Silence after which a replica counts as lost if a new host has joined or wants to. Longer than an
 /// election and the restart of a process.
 const REPLACEMENT_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Silence after which a replica is removed without a replacement. Most network partitions are
@@ -20,16 +20,28 @@
     pub silence: Duration,
 }
 
+/// Whether a host at a new address takes the place of a lost replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Successor {
+    /// There is none.
+    None,
+    /// A host wants to join.
+    Waiting,
+    /// A host has joined recently. See [`ReplacementWindow`](crate::ReplacementWindow).
+    Joined,
+}
+
 /// Returns the replica that should be removed from the group, if any.
 ///
 /// A lost replica cannot contribute to a majority but still raises the number of votes that a
-/// majority needs. `others` are all replicas except the leader. `has_newcomer` tells whether a host
-/// at a new address wants to join.
-pub fn lost_replica(others: &[ReplicaView], has_newcomer: bool) -> Option<HostId> {
+/// majority needs. `others` are all replicas except the leader.
+pub fn lost_replica(others: &[ReplicaView], successor: Successor) -> Option<HostId> {
     let most_silent = others.iter().max_by_key(|view| view.silence)?;
-    let is_lost = match has_newcomer {
-        true => most_silent.silence > REPLACEMENT_TIMEOUT && others.len() >= 2,
-        false => most_silent.silence > REMOVAL_TIMEOUT && others.len() >= MIN_REPLICAS,
+    let (timeout, min_others) = match successor {
+        Successor::None => (REMOVAL_TIMEOUT, MIN_REPLICAS),
+        Successor::Waiting => (REPLACEMENT_TIMEOUT, MIN_REPLICAS - 1),
+        Successor::Joined => (REPLACEMENT_TIMEOUT, MIN_REPLICAS),
     };
+    let is_lost = most_silent.silence > timeout && others.len() >= min_others;
     is_lost.then_some(most_silent.id)
 }
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -13,6 +13,7 @@
 use gw_daemon::control::JournalWriter;
 use gw_dispatch::CrashQuarantine;
 use gw_dispatch::QuarantineOptions;
+use gw_fleet::ReplacementWindow;
 use gw_ranges::RangeHolder;
 use gw_types::Clock;
 use gw_types::HostId;
@@ -38,7 +39,7 @@
 
 /// Longest time since the last message of a leader for a follower to count as in contact with the
 /// group.
-const CONTACT_TIMEOUT: Duration = Duration::from_millis(600);
+pub(crate) const CONTACT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Largest command, in bytes; fits a configuration with tens of thousands of routes and its
 /// document.
 const MAX_COMMAND_BYTES: usize = 16 * 1024 * 1024;
@@ -115,6 +116,10 @@
     pub(crate) majority_seen_at: Cell<Timestamp>,
     /// When this leader first saw each other replica as a member.
     pub(crate) first_seen: RefCell<BTreeMap<HostId, Timestamp>>,
+    pub(crate) replacement: Cell<ReplacementWindow>,
+    /// When another control host was last heard over a connection, by its address. Known on
+    /// followers as well, so that a new leader need not wait to learn who is silent.
+    pub(crate) heard_hosts: RefCell<BTreeMap<SocketAddr, Timestamp>>,
     /// Calls to other hosts that wait for a reply.
     pub(crate) pending_calls: RefCell<BTreeMap<CallId, oneshot::Sender<CallResult>>>,
     pub(crate) is_stopping: Cell<bool>,
@@ -150,6 +155,8 @@
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
             majority_seen_at: Cell::new(clock.now()),
             first_seen: RefCell::default(),
+            replacement: Cell::default(),
+            heard_hosts: RefCell::default(),
             pending_calls: RefCell::default(),
             is_stopping: Cell::new(false),
             restart_at: Cell::new(Timestamp::ZERO),
--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -1,13 +1,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use gw_agreement::MemberStatus;
 use gw_agreement::MembershipChange;
 use gw_fleet::FleetCommand;
 use gw_fleet::ReplicaRecord;
 use gw_fleet::ReplicaView;
+use gw_fleet::Successor;
 use gw_fleet::lost_replica;
 use gw_types::HostId;
+use gw_types::Timestamp;
 
+use crate::control::control_host::CONTACT_TIMEOUT;
 use crate::control::control_host::ControlHost;
 use crate::control::control_host::ReplySink;
 use crate::control::replica_identity::ReplicaIdentity;
@@ -113,7 +117,7 @@
             self.propose(FleetCommand::RemoveReplica { id: old.id });
             return;
         }
-        if let Some(id) = lost_replica(&self.replica_views(), true) {
+        if let Some(id) = lost_replica(&self.replica_views(), Successor::Waiting) {
             log::warn!("event=replica_replaced id={} by={peers}", id.0);
             self.propose(FleetCommand::RemoveReplica { id });
             return;
@@ -152,41 +156,83 @@
         self.save_identity(ReplicaIdentity::unassigned());
     }
 
+    /// Tells the leader that this host has been told to stop.
+    pub(crate) fn announce_leaving(&self) {
+        let id = self.identity.borrow().as_ref().and_then(|identity| identity.id);
+        if let Some((id, link)) = id.zip(self.leader_link()) {
+            link.send(&LinkMessage::Leaving { id });
+        }
+    }
+
+    /// Handles the announcement of a replica whose host was told to stop. As leader, removes it at
+    /// once if another one has just joined in its place; otherwise its host will be back.
+    pub(crate) fn handle_leaving(&self, id: HostId) {
+        if !self.is_confirmed_leader() || !self.replacement.get().is_open(self.now()) {
+            return;
+        }
+        let mut others = self.replica_views();
+        let leaving = others.iter_mut().filter(|view| view.id == id);
+        leaving.for_each(|view| view.silence = Duration::MAX);
+        if lost_replica(&others, Successor::Joined) == Some(id) {
+            log::info!("event=replica_leaves id={}", id.0);
+            self.propose(FleetCommand::RemoveReplica { id });
+        }
+    }
+
     /// Proposes a command as leader without waiting for its outcome.
     pub(crate) fn propose(&self, command: FleetCommand) {
         let (sender, _) = tokio::sync::oneshot::channel::<CallResult>();
         self.propose_as_leader(&command, ReplySink::Local(sender));
     }
 
-    /// Makes the group's membership match the replicated list of replicas, as leader, and removes
-    /// replicas that are lost.
+    /// Makes the group's membership match the replicated list of replicas, as leader.
     pub(crate) fn reconcile_members(&self) {
-        let state_replicas = self.log.borrow().state().replicas().to_vec();
-        if state_replicas.is_empty() {
-            self.record_first_members();
-            return;
-        }
-        let now = self.now();
-        if let Some(replica) = self.replica.borrow_mut().as_mut() {
-            let members = replica.node.membership().clone();
-            let is_known = |id: HostId| state_replicas.iter().any(|known| known.id == id);
+        let change = {
+            let log = self.log.borrow();
+            let replicas = log.state().replicas();
+            let mut slot = self.replica.borrow_mut();
+            let Some(replica) = slot.as_mut().filter(|_| !replicas.is_empty()) else { return };
+            let members = replica.node.membership();
+            let is_known = |id: HostId| replicas.iter().any(|known| known.id == id);
             let gone = members.members().find(|id| !is_known(*id));
-            let new = state_replicas.iter().find(|known| !members.contains(known.id));
+            let new = replicas.iter().find(|known| !members.contains(known.id));
             let change = gone
                 .map(MembershipChange::Remove)
                 .or_else(|| new.map(|known| MembershipChange::Add(known.id)));
-            if let Some(change) = change {
-                match replica.node.change_membership(now, change) {
-                    Ok(index) => log::info!("event=members_change index={} {change:?}", index.0),
-                    Err(error) => log::debug!("event=members_wait cause=\"{error}\""),
-                }
+            let Some(change) = change else { return };
+            (change, replica.node.change_membership(self.now(), change))
+        };
+        match change {
+            (change, Ok(index)) => {
+                log::info!("event=members_change index={} {change:?}", index.0);
+                self.drive();
             }
+            (_, Err(error)) => log::debug!("event=members_wait cause=\"{error}\""),
         }
-        if let Some(id) = lost_replica(&self.replica_views(), false) {
+    }
+
+    /// Proposes, as leader, the first list of replicas, and the removal of a replica that is lost.
+    pub(crate) fn review_replicas(&self) {
+        if self.log.borrow().state().replicas().is_empty() {
+            self.record_first_members();
+            return;
+        }
+        let successor = match self.replacement.get().is_open(self.now()) {
+            true => Successor::Joined,
+            false => Successor::None,
+        };
+        if let Some(id) = lost_replica(&self.replica_views(), successor) {
             log::warn!("event=replica_lost id={}", id.0);
             self.propose(FleetCommand::RemoveReplica { id });
         }
-        self.drive();
+    }
+
+    /// Records when the control hosts to which this host has connections were last heard.
+    pub(crate) fn record_heard_hosts(&self) {
+        let mut heard = self.heard_hosts.borrow_mut();
+        for link in self.links.borrow().iter().filter(|link| link.is_outbound) {
+            heard.insert(link.peer, link.link.last_byte.get());
+        }
     }
 
     /// Returns the other replicas with the time since each was last heard.
@@ -195,19 +241,28 @@
         let replica = self.replica.borrow();
         let Some(replica) = replica.as_ref() else { return Vec::new() };
         let status = replica.node.member_status();
-        let mut first_seen = self.first_seen.borrow_mut();
-        first_seen.retain(|id, _| status.iter().any(|member| member.host == *id));
+        self.first_seen.borrow_mut().retain(|id, _| status.iter().any(|member| member.host == *id));
         let others = status.iter().filter(|member| member.host != replica.node.id());
         others
-            .map(|member| {
-                // For a member that was never heard, silence counts from when it became a member.
-                let first_seen = *first_seen.entry(member.host).or_insert(now);
-                let heard = member.last_contact.map_or(first_seen, |at| at.max(first_seen));
-                ReplicaView { id: member.host, silence: now.since(heard) }
-            })
+            .map(|member| ReplicaView { id: member.host, silence: self.silence(now, member) })
             .collect()
     }
 
+    /// Returns the time since a member responded to this leader. For a member that never did, the
+    /// time since it was heard over a connection, or since it became a member. Zero while a new
+    /// leader waits for the first response.
+    fn silence(&self, now: Timestamp, member: &MemberStatus) -> Duration {
+        let first_seen = *self.first_seen.borrow_mut().entry(member.host).or_insert(now);
+        if now.since(first_seen) < CONTACT_TIMEOUT {
+            return Duration::ZERO;
+        }
+        let heard_hosts = self.heard_hosts.borrow();
+        let address = self.peer_address(member.host);
+        let heard = address.and_then(|address| heard_hosts.get(&address).copied());
+        let unanswered = heard.map_or(first_seen, |heard| heard.min(first_seen));
+        now.since(member.last_contact.unwrap_or(unanswered).max(unanswered))
+    }
+
     /// Logs the voters and which of them are connected while this host has no contact with a
     /// majority.
     pub(crate) fn log_lost_majority(&self) {
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -134,6 +134,7 @@
             }
             LinkMessage::Welcome { id, replicas } => host.handle_welcome(id, replicas),
             LinkMessage::Removed { id } => host.handle_removal(id),
+            LinkMessage::Leaving { id } => host.handle_leaving(id),
             LinkMessage::Propose { call, command } => {
                 host.propose_as_leader(&command, ReplySink::Remote { link, call });
             }
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -1,3 +1,5 @@
+use std::cmp::Ordering;
+
 use gw_agreement::EntryPayload;
 use gw_agreement::Envelope;
 use gw_agreement::LogEntry;
@@ -112,7 +114,9 @@
                 None
             }
         };
+        let count_before = self.log.borrow().state().replicas().len();
         let outcome = self.log.borrow_mut().apply(index, command.as_ref());
+        self.record_replacement(count_before);
         if let (Some(command), Some(outcome)) = (&command, outcome) {
             if let FleetCommand::PutTarget(record) = command {
                 // The target announced itself a moment ago, possibly to another replica.
@@ -132,6 +136,18 @@
         }
     }
 
+    /// Records whether a command has added a replica to a formed group or removed one.
+    fn record_replacement(&self, count_before: usize) {
+        let count = self.log.borrow().state().replicas().len();
+        let mut window = self.replacement.get();
+        match count.cmp(&count_before) {
+            Ordering::Greater if count_before > 0 => window.record_added(self.now()),
+            Ordering::Less => window.record_removed(),
+            _ => return,
+        }
+        self.replacement.set(window);
+    }
+
     fn save_snapshot(&self, replica: &mut Replica) {
         let log = self.log.borrow();
         if log.applied() < replica.last_snapshot + SNAPSHOT_INTERVAL_ENTRIES {
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -105,6 +105,7 @@
     };
     log::info!("event=stopping transfer={transferred:?}");
     host.drive();
+    host.announce_leaving();
 }
 
 fn tick(
@@ -115,18 +116,27 @@
 ) {
     start_replica(host, round);
     host.tick_replica();
+    let leads = host.is_confirmed_leader() && !host.is_stopping.get();
+    if leads {
+        host.reconcile_members();
+    }
     step_granters(host, unreachable);
     if round != 0 {
         greet_entry_hosts(host);
         return;
     }
+    host.record_heard_hosts();
     host.save_peers();
     host.log_lost_majority();
+    if host.is_stopping.get() {
+        // A host that led has another leader only now.
+        host.announce_leaving();
+    }
     links.dial();
     send_heads(host, |_| true);
     forward_contacts(host);
-    if host.is_confirmed_leader() && !host.is_stopping.get() {
-        host.reconcile_members();
+    if leads {
+        host.review_replicas();
         remove_silent_targets(host);
     }
     let now = host.now();
@@ -137,9 +147,10 @@
 }
 
 /// Starts the replica if it is not running: at process start, after a disk failure, and after its
-/// removal from the group.
+/// removal from the group. A host that stops does not join again.
 fn start_replica(host: &ControlHost, round: u32) {
-    if host.replica.borrow().is_some() || host.now() < host.restart_at.get() {
+    let is_due = host.now() >= host.restart_at.get() && !host.is_stopping.get();
+    if host.replica.borrow().is_some() || !is_due {
         return;
     }
     let identity = host.identity.borrow().clone();
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -172,4 +172,6 @@
     },
     /// See [`EntryReport`].
     Report(EntryReport),
+    /// The replica `id` tells the leader that its host has been told to stop.
+    Leaving { id: HostId },
 }
