feat(gw-gateway): limits that targets name are decoded and logged

The logs could not tell whether a target had named a limit, and to which hosts. Each entry host keeps the newest statement of each run in a LimitTable and logs a change as event=target_limit. Nothing acts on it yet.

--- a/crates/gw-balance/src/lib.rs
+++ b/crates/gw-balance/src/lib.rs
@@ -11,6 +11,7 @@
 mod answered_requests;
 mod attempt_outcome;
 mod holder_throttle;
+mod limit_table;
 mod link_pacer;
 mod preferred_targets;
 mod request_queue;
@@ -22,6 +23,8 @@
 pub use answered_requests::AnsweredRequests;
 pub use attempt_outcome::AttemptOutcome;
 pub use holder_throttle::HolderThrottle;
+pub use limit_table::LimitTable;
+pub use limit_table::TargetLimit;
 pub use link_pacer::LinkPacer;
 pub use preferred_targets::PreferredTargets;
 pub use request_queue::RequestQueue;
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use gw_balance::HolderThrottle;
+use gw_balance::LimitTable;
 use gw_balance::PreferredTargets;
 use gw_balance::RequestQueue;
+use gw_balance::TargetLimit;
 use gw_balance::TargetPool;
 use gw_daemon::BootClock;
 use gw_dispatch::CrashQuarantine;
@@ -69,6 +71,8 @@
     pub(crate) queue: RefCell<RequestQueue>,
     /// Limits requests to holders that the control leader reports as overloaded.
     pub(crate) throttle: RefCell<HolderThrottle>,
+    /// Limits on the rate of requests that targets have named.
+    pub(crate) limits: RefCell<LimitTable>,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<SendPermit>>>,
     pub(crate) connections: TargetConnections,
     /// Keeps large responses from filling the link.
@@ -111,6 +115,7 @@
             is_pool_stale: Cell::new(false),
             queue: RefCell::default(),
             throttle: RefCell::default(),
+            limits: RefCell::default(),
             waiters: RefCell::default(),
             connections: TargetConnections::default(),
             transfers,
@@ -277,6 +282,16 @@
         }
     }
 
+    /// Records what a target said about the rate of requests that it takes.
+    pub(crate) fn record_limit(&self, limit: TargetLimit) {
+        let (holder, per_second) = (limit.holder.clone(), limit.per_second);
+        if !self.limits.borrow_mut().record(limit) {
+            return;
+        }
+        let named = per_second.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        log::info!("event=target_limit target={holder} per_second={named}");
+    }
+
     /// Takes one retry from the service's budget. Returns `false` if none is left.
     pub(crate) fn try_retry(&self, service: &ServiceName) -> bool {
         let now = self.now();
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use gw_balance::AttemptOutcome;
+use gw_balance::TargetLimit;
 use gw_daemon::remove_hop_fields;
 use gw_dispatch::CrashedRun;
 use gw_dispatch::RequestFingerprint;
@@ -252,6 +253,13 @@
     let is_id_echoed =
         metadata.request_id.is_some() && metadata.request_id == request.metadata.request_id;
     let status = head.status;
+    if is_id_echoed && (metadata.rate_limit.is_some() || !metadata.is_refusal) {
+        host.record_limit(TargetLimit {
+            holder: permit.holder.clone(),
+            per_second: metadata.rate_limit,
+            stated_at: host.now(),
+        });
+    }
     if metadata.is_refusal && (metadata.request_id.is_none() || is_id_echoed) {
         log_failure(request, &permit, "refused", status.as_str());
         let is_other_target =
--- a/crates/gw-gateway/src/ports/response_metadata.rs
+++ b/crates/gw-gateway/src/ports/response_metadata.rs
@@ -2,7 +2,7 @@
 use http::HeaderValue;
 
 /// Metadata of a target's response beyond status and body.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Id of the request that the target says it responds to.
     pub request_id: Option<HeaderValue>,
@@ -13,4 +13,7 @@
     pub is_misdirected: bool,
     /// With a misdirected request: name of the target that responded, if it states one.
     pub other_target: Option<TargetName>,
+    /// Requests per second that the target takes from all entry hosts together, for as long as its
+    /// responses say so. At least 0; `None` if it takes all.
+    pub rate_limit: Option<f64>,
 }
