fix(gw-gateway): a request that is queued wakes up the admission

A request that waits for the end of a target's pause was refused with waited_too_long if no other request of its host was in flight: the admission sleeps while the queue is empty, and only the end of a request or a change of the state woke it up. Found while limits of targets were built: a host that waits for its next permit has nothing in flight.

--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -131,6 +131,8 @@
         tried: tried.to_vec(),
         priority: params.priority,
     });
+    // No request may be in flight whose end would wake up the admission.
+    host.admission_wakeup.notify_one();
     host.metrics.waiting.set(host.queue.borrow().len() as i64);
     let guard = QueueGuard { host, number: params.number };
     let admitted = tokio::time::timeout(max_wait, receiver).await;
