fix(gw-gateway): the limits that targets name are divided among all entry hosts

Callers and the owners of targets saw: a target in need that had named a limit of 3.9 requests a second in its answers went on getting ten and more a second (43 in 4 s, allowed 28).

Cause: nothing read the limit. Class: an instruction of a peer that is ignored because nobody owns it; and, once read, a global limit that each host would take for itself.

Fix: the newest statement about each run of a target is kept by the host that got it and reported to the control leader, whose heads carry it to all entry hosts. Each host takes an equal part by a TargetPacer: one permit in each interval, at a time that differs between hosts; permits that are not used lapse, so that hosts that were idle do not send together. The number of hosts is the highest of the last 10 s, since a new leader counts only those that have connected. Requests for a key of such a target wait for up to 500 ms or are refused at once with Retry-After (target_limited); unkeyed ones go to other targets. The leader plans keys by the limit, so that they move off, and after 10 s without a statement gives some back, so that a target can say that its need has ended.

Ruled out: each host taking the whole limit (the trace shows no change of any host's rate after the limit was named).

--- a/crates/gw-balance/src/limit_table.rs
+++ b/crates/gw-balance/src/limit_table.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use gw_ranges::RangeHolder;
+use gw_types::TargetName;
 use gw_types::Timestamp;
 
 /// Age from which a statement that a target has no limit is dropped. Older statements of other hosts
@@ -51,9 +52,16 @@
     }
 
     /// Returns the limit of a run in requests per second; `None` if it has none.
-    pub fn per_second(&self, holder: &RangeHolder) -> Option<f64> {
-        let found = self.limits.binary_search_by(|known| known.holder.cmp(holder));
-        found.ok().and_then(|index| self.limits[index].per_second)
+    pub fn per_second(&self, target: &TargetName, run: u64) -> Option<f64> {
+        self.find(target, run).and_then(|limit| limit.per_second)
+    }
+
+    /// Returns the newest statement of a run; `None` if it never named a limit.
+    pub fn find(&self, target: &TargetName, run: u64) -> Option<&TargetLimit> {
+        let order = |known: &TargetLimit| {
+            known.holder.target.cmp(target).then_with(|| known.holder.run.cmp(&run))
+        };
+        self.limits.binary_search_by(order).ok().map(|index| &self.limits[index])
     }
 
     /// Returns all statements, sorted by holder.
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -11,6 +11,7 @@
 
 use crate::AnsweredRequests;
 use crate::AttemptOutcome;
+use crate::LimitTable;
 use crate::PreferredTargets;
 use crate::TargetView;
 use crate::service_targets::ServiceTargets;
@@ -51,6 +52,8 @@
     Busy,
     /// It is paused after failures or a refusal.
     Paused,
+    /// The limit on the rate of requests that it has named allows none now.
+    Limited,
     /// This run of the target is not known, has ended, or has been draining for too long.
     Unknown,
 }
@@ -214,6 +217,9 @@
         if target.is_paused(now) {
             return HolderAvailability::Paused;
         }
+        if !target.limit_wait(now).is_zero() {
+            return HolderAvailability::Limited;
+        }
         if target.in_flight < self.holder_limit(target) {
             HolderAvailability::Available
         } else {
@@ -244,10 +250,31 @@
         self.targets_of(service).any(is_serving)
     }
 
+    /// Returns the time until the limits that the targets of `service` have named allow this host's
+    /// next request to one of them; `None` if the service has no target that is ready but for its
+    /// limit.
+    pub fn limit_wait(&self, now: Timestamp, service: &ServiceName) -> Option<Duration> {
+        let is_ready = |target: &&TargetView| {
+            target.record.phase == gw_fleet::TargetPhase::Serving
+                && !target.has_ended()
+                && !target.is_paused(now)
+        };
+        self.targets_of(service).filter(is_ready).map(|target| target.limit_wait(now)).min()
+    }
+
+    /// Applies the limits that targets have named, to be divided among `host_count` hosts.
+    pub fn set_limits(&mut self, now: Timestamp, limits: &LimitTable, host_count: u32) {
+        for target in &mut self.targets {
+            let phase = host_specific_fraction(&self.host, &target.record.name);
+            let limit = limits.per_second(&target.record.name, target.record.run);
+            target.set_limit(now, limit, host_count, phase);
+        }
+    }
+
     /// Records that a request is sent to a target.
-    pub fn record_start(&mut self, holder: &RangeHolder) {
+    pub fn record_start(&mut self, now: Timestamp, holder: &RangeHolder) {
         if let Some(target) = self.target_mut(holder) {
-            target.in_flight += 1;
+            target.record_start(now);
         }
     }
 
--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -6,6 +6,7 @@
 
 use crate::AnsweredRequests;
 use crate::AttemptOutcome;
+use crate::target_pacer::TargetPacer;
 
 /// Weight of the newest request in the moving averages.
 const AVERAGE_WEIGHT: f64 = 0.2;
@@ -48,6 +49,8 @@
     /// Number of consecutive failures.
     failures: u32,
     paused_until: Timestamp,
+    /// Spaces this host's requests; `None` unless the target has named a limit on their rate.
+    pacer: Option<TargetPacer>,
     /// Whether another target responded at its address, so that this run has ended.
     has_ended: bool,
     last_outcome_at: Timestamp,
@@ -71,6 +74,7 @@
             failure_rate: 0.0,
             failures: 0,
             paused_until: Timestamp::ZERO,
+            pacer: None,
             has_ended: false,
             last_outcome_at: now,
             unreported_count: 0,
@@ -91,7 +95,43 @@
 
     /// Returns whether requests may be sent to the target.
     pub fn is_available(&self, now: Timestamp) -> bool {
-        self.record.phase == TargetPhase::Serving && !self.has_ended && !self.is_paused(now)
+        let is_serving = self.record.phase == TargetPhase::Serving && !self.has_ended;
+        is_serving && !self.is_paused(now) && self.limit_wait(now).is_zero()
+    }
+
+    /// Returns the time until the limit that the target has named allows this host's next request;
+    /// zero if it names none.
+    pub fn limit_wait(&self, now: Timestamp) -> Duration {
+        self.pacer.map_or(Duration::ZERO, |pacer| pacer.next_permit(now).since(now))
+    }
+
+    /// Returns the time between two requests of this host that the limit of the target allows; zero
+    /// if it names none.
+    pub fn limit_interval(&self) -> Duration {
+        self.pacer.map_or(Duration::ZERO, |pacer| pacer.interval())
+    }
+
+    /// Sets the limit that the target has named for all of `host_count` hosts together. `phase`
+    /// should differ between hosts.
+    pub(crate) fn set_limit(
+        &mut self,
+        now: Timestamp,
+        per_second: Option<f64>,
+        host_count: u32,
+        phase: f64,
+    ) {
+        match (&mut self.pacer, per_second) {
+            (pacer, None) => *pacer = None,
+            (Some(pacer), Some(limit)) => pacer.set_rate(now, limit, host_count),
+            (pacer, Some(limit)) => *pacer = Some(TargetPacer::new(now, limit, host_count, phase)),
+        }
+    }
+
+    pub(crate) fn record_start(&mut self, now: Timestamp) {
+        self.in_flight += 1;
+        if let Some(pacer) = &mut self.pacer {
+            pacer.record_send(now);
+        }
     }
 
     /// Returns whether another target responded at its address, so that this run has ended.
--- a/crates/gw-balance/tests/target_pool.rs
+++ b/crates/gw-balance/tests/target_pool.rs
@@ -121,7 +121,7 @@
         let target = record("t1", "a");
         let mut pool = pool("h1", &["h1"], std::slice::from_ref(&target));
         for outcome in case.outcomes {
-            pool.record_start(&target.holder());
+            pool.record_start(NOW, &target.holder());
             pool.record_end(NOW, &target.holder(), outcome);
         }
         assert_eq!(
@@ -157,7 +157,7 @@
         let holder = target.record.holder();
         let index = records.iter().position(|record| record.holder() == holder);
         counts[index.expect("a known target")] += 1;
-        pool.record_start(&holder);
+        pool.record_start(NOW, &holder);
     }
     assert_eq!(counts, [3, 1, 1]);
 }
@@ -181,7 +181,7 @@
             pool.targets().iter().filter(|target| target.is_preferred).count() * 2 + 1;
         for _ in 0..request_count {
             let holder = pool.pick(NOW, &service(), &[]).expect("a target").record.holder();
-            pool.record_start(&holder);
+            pool.record_start(NOW, &holder);
             let index = records.iter().position(|record| record.holder() == holder);
             sent[index.expect("a known target")] += 1;
         }
--- a/crates/gw-gateway/src/control/order_delivery.rs
+++ b/crates/gw-gateway/src/control/order_delivery.rs
@@ -66,7 +66,7 @@
     host.granters_stepped_at.set(now);
     let (orders, commands) = {
         let log = host.log.borrow();
-        host.monitor.borrow_mut().retain_registered(log.state());
+        host.monitor.borrow_mut().retain_registered(now, log.state());
         host.granters.borrow_mut().step(now, log.state(), &host.monitor.borrow())
     };
     for order in orders {
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -17,10 +17,12 @@
 use crate::link::HeadDetails;
 use crate::link::HeadMessage;
 use crate::link::HostKind;
+use crate::link::LimitReport;
 use crate::link::LinkEvent;
 use crate::link::LinkHandle;
 use crate::link::LinkMessage;
 use crate::link::ShareReport;
+use crate::link::log_limit;
 
 /// A connection to another host.
 pub(crate) struct PeerLink {
@@ -181,6 +183,11 @@
     let mut monitor = host.monitor.borrow_mut();
     let log = host.log.borrow();
     report.runs.iter().for_each(|answered| monitor.record_answered(now, log.state(), answered));
+    for limit in &report.limits {
+        if monitor.record_limit(limit.received(now)) {
+            log_limit(&limit.holder, limit.per_second);
+        }
+    }
     let mut granters = host.granters.borrow_mut();
     report.heat.iter().for_each(|counts| granters.record_requests(now, counts));
     let mut quarantine = host.quarantine.borrow_mut();
@@ -208,6 +215,10 @@
         true => Some(host.own_peer_address()),
         false => host.leader_address(),
     };
+    let limits = match is_leader {
+        true => LimitReport::of(now, host.monitor.borrow().limits()),
+        false => Vec::new(),
+    };
     let mut links = host.links.borrow_mut();
     let control_zones = connected_control_hosts(host, &links);
     let entry_hosts = connected_entry_hosts(&links);
@@ -236,6 +247,7 @@
             is_leader,
             host_count: u32::try_from(entry_hosts.len()).unwrap_or(u32::MAX),
             shares: shares.clone(),
+            limits: limits.clone(),
             details: is_new.then(|| details.clone()),
         };
         if link.link.send(&LinkMessage::Head(head)) && is_new {
--- a/crates/gw-gateway/src/control/target_monitor.rs
+++ b/crates/gw-gateway/src/control/target_monitor.rs
@@ -1,6 +1,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use gw_balance::LimitTable;
+use gw_balance::TargetLimit;
 use gw_fleet::DepartureCause;
 use gw_fleet::FleetState;
 use gw_fleet::TargetPhase;
@@ -25,6 +27,14 @@
 /// cause keys to move.
 const SPEED_BOUNDS: (f64, f64) = (0.2, 3.0);
 
+/// Age from which a limit no longer keeps keys away from a target. Without keys it gets no request
+/// and cannot say that the limit has ended. Entry hosts respect the limit until it says so.
+const MAX_LIMIT_AGE: Duration = Duration::from_secs(10);
+/// Smallest relative speed of a target that has named a limit.
+const MIN_LIMITED_SPEED: f64 = 0.02;
+/// Processing time that is assumed for a service whose targets' times are not known.
+const DEFAULT_PROCESSING_SECONDS: f64 = 0.1;
+
 #[derive(Clone, Copy, Debug)]
 struct LastContact {
     at: Timestamp,
@@ -39,6 +49,8 @@
     contacts: BTreeMap<TargetName, LastContact>,
     /// Processing times, estimated from the reports of entry hosts.
     estimators: BTreeMap<RangeHolder, ProcessingTimeEstimator>,
+    /// Limits on the rate of requests that targets have named, as reported by entry hosts.
+    limits: LimitTable,
     /// Start of the observation. A target that was not heard since then counts as heard at this
     /// time.
     started_at: Timestamp,
@@ -92,6 +104,17 @@
         estimator.record(now, report.runs, total, target.work_slots);
     }
 
+    /// Records what a target said to an entry host about the rate of requests that it takes. Returns
+    /// whether its limit has changed.
+    pub(crate) fn record_limit(&mut self, limit: TargetLimit) -> bool {
+        self.limits.record(limit)
+    }
+
+    /// Returns the limits that targets have named.
+    pub(crate) fn limits(&self) -> &LimitTable {
+        &self.limits
+    }
+
     fn silence(&self, now: Timestamp, name: &TargetName) -> Duration {
         let at = self
             .contacts
@@ -108,11 +131,14 @@
     }
 
     /// Drops records of targets and runs that are not in the replicated state.
-    pub(crate) fn retain_registered(&mut self, state: &FleetState) {
+    pub(crate) fn retain_registered(&mut self, now: Timestamp, state: &FleetState) {
         self.contacts.retain(|name, _| state.target(name).is_some());
         self.estimators.retain(|holder, _| {
             state.target(&holder.target).is_some_and(|target| target.run == holder.run)
         });
+        self.limits.expire(now, |holder| {
+            state.target(&holder.target).is_some_and(|target| target.run == holder.run)
+        });
     }
 
     /// Returns the target runs that hold, or may be given, keys of `service`, sorted by holder.
@@ -190,6 +216,12 @@
     fn speed(&self, now: Timestamp, target: &TargetRecord, typical: Option<f64>) -> f64 {
         let own = self.processing_time(now, target);
         let speed = own.zip(typical).map_or(1.0, |(own, typical)| typical / own);
-        speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
+        let speed = speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+        let limit = self.limits.find(&target.name, target.run);
+        let limit = limit.filter(|limit| now.since(limit.stated_at) < MAX_LIMIT_AGE);
+        let Some(per_second) = limit.and_then(|limit| limit.per_second) else { return speed };
+        let typical = typical.unwrap_or(DEFAULT_PROCESSING_SECONDS);
+        let limited = per_second * typical / f64::from(target.work_slots.max(1));
+        speed.min(limited.max(MIN_LIMITED_SPEED))
     }
 }
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -24,6 +24,8 @@
 /// Longest pause of a holder that a request waits out. Covers the pause of a holder that is full
 /// and the pauses after its first failures.
 const MAX_PAUSE_WAIT: Duration = Duration::from_millis(200);
+/// Longest wait for a target whose named limit allows no request now.
+const MAX_LIMIT_WAIT: Duration = Duration::from_millis(500);
 /// `Retry-After` when the key has no usable holder: about the duration of a move.
 const MOVE_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Shortest `Retry-After` of a request refused under load.
@@ -56,7 +58,7 @@
 
 impl SendPermit {
     fn new(host: &Rc<EntryHost>, holder: RangeHolder, address: SocketAddr) -> Self {
-        host.pool.borrow_mut().record_start(&holder);
+        host.pool.borrow_mut().record_start(host.now(), &holder);
         Self { host: host.clone(), holder, address, outcome: AttemptOutcome::Cancelled }
     }
 
@@ -200,7 +202,13 @@
         if !pool.has_targets(&params.service) {
             return WaitEstimate::Refused { reason: "no_target", retry_after: MAX_RETRY_AFTER };
         }
-        let capacity = f64::from(pool.capacity(now, &params.service).max(1));
+        let capacity = pool.capacity(now, &params.service);
+        if capacity == 0
+            && let Some(wait) = pool.limit_wait(now, &params.service)
+        {
+            return wait_for_limit(wait);
+        }
+        let capacity = f64::from(capacity.max(1));
         return WaitEstimate::Wait(Duration::from_secs_f64(
             (ahead + 1.0) * response_time / capacity,
         ));
@@ -242,6 +250,17 @@
         {
             WaitEstimate::Wait(target.remaining_pause(now))
         }
+        (Some(HolderAvailability::Limited), Some(target)) => {
+            let range = assignment.range;
+            let ahead = host.queue.borrow().count_ahead_for_keys(
+                &params.service,
+                params.priority,
+                |other| other.is_some_and(|other| range.contains(other)),
+            );
+            let turns = u32::try_from(ahead).unwrap_or(u32::MAX);
+            let interval = target.limit_interval();
+            wait_for_limit(target.limit_wait(now) + interval.saturating_mul(turns))
+        }
         (Some(HolderAvailability::Paused), Some(_)) => {
             WaitEstimate::Refused { reason: "holder_fails", retry_after: MOVE_RETRY_AFTER }
         }
@@ -249,6 +268,15 @@
     }
 }
 
+/// Returns the estimate for a request that has to wait until the limit of a target allows it.
+fn wait_for_limit(wait: Duration) -> WaitEstimate {
+    if wait <= MAX_LIMIT_WAIT {
+        return WaitEstimate::Wait(wait);
+    }
+    let retry_after = wait.clamp(MOVE_RETRY_AFTER, MAX_RETRY_AFTER);
+    WaitEstimate::Refused { reason: "target_limited", retry_after }
+}
+
 /// Admits queued requests for which a target has capacity, each time something has changed that may
 /// affect them.
 pub(crate) async fn run_admission(host: Rc<EntryHost>) {
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -23,6 +23,7 @@
 use crate::link::HeadDetails;
 use crate::link::HeadMessage;
 use crate::link::HostKind;
+use crate::link::LimitReport;
 use crate::link::LinkEvent;
 use crate::link::LinkHandle;
 use crate::link::LinkId;
@@ -211,8 +212,9 @@
         }
         if head.is_leader {
             let host_count = usize::try_from(head.host_count).unwrap_or(usize::MAX);
-            self.host.host_count.set(host_count);
-            self.host.pool.borrow_mut().set_host_count(host_count);
+            self.host.record_host_count(host_count);
+            let now = self.host.now();
+            self.host.record_limits(head.limits.iter().map(|limit| limit.received(now)));
         }
         if head.is_leader {
             let share = |report: &ShareReport| HolderShare {
@@ -357,6 +359,7 @@
             heat: Vec::new(),
             runs: Vec::new(),
             crashes: Vec::new(),
+            limits: Vec::new(),
         };
         self.ticks = self.ticks.wrapping_add(1);
         let is_follower_turn = self.ticks.is_multiple_of(FOLLOWER_REPORT_TICKS);
@@ -368,7 +371,8 @@
             let report = if is_leader {
                 let heat = self.take_request_counts();
                 let runs = self.take_answered();
-                EntryReport { heat, runs, crashes: crashes.clone(), ..base.clone() }
+                let limits = LimitReport::of(now, &self.host.named_limits.borrow());
+                EntryReport { heat, runs, crashes: crashes.clone(), limits, ..base.clone() }
             } else {
                 base.clone()
             };
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use gw_balance::HolderThrottle;
+use gw_balance::HostCount;
 use gw_balance::LimitTable;
 use gw_balance::PreferredTargets;
 use gw_balance::RequestQueue;
@@ -37,6 +38,7 @@
 use crate::entry::admission::SendPermit;
 use crate::entry::transfer_gate::TransferGate;
 use crate::gateway_metrics::GatewayMetrics;
+use crate::link::log_limit;
 use crate::ports::ProtocolAdapter;
 use crate::targets::TargetConnections;
 
@@ -45,6 +47,8 @@
 /// Fraction of its part of the global retry budget that this host uses. The remainder allows for
 /// requests that other hosts count in a different window.
 const RETRY_BUDGET_SHARE: f64 = 0.8;
+/// Number of hosts among which limits are divided until the leader has reported one.
+const UNKNOWN_HOST_COUNT: u32 = 16;
 /// Bounds for remembering requests that crash targets: `capacity` bounds memory, `hold` outlasts a
 /// caller's retries.
 const QUARANTINE_OPTIONS: QuarantineOptions =
@@ -71,8 +75,12 @@
     pub(crate) queue: RefCell<RequestQueue>,
     /// Limits requests to holders that the control leader reports as overloaded.
     pub(crate) throttle: RefCell<HolderThrottle>,
-    /// Limits on the rate of requests that targets have named.
-    pub(crate) limits: RefCell<LimitTable>,
+    /// Limits on the rate of requests that targets have named to this host.
+    pub(crate) named_limits: RefCell<LimitTable>,
+    /// Those that targets have named to any host.
+    limits: RefCell<LimitTable>,
+    /// Number of hosts among which these limits are divided.
+    sharing_hosts: Cell<HostCount>,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<SendPermit>>>,
     pub(crate) connections: TargetConnections,
     /// Keeps large responses from filling the link.
@@ -115,7 +123,9 @@
             is_pool_stale: Cell::new(false),
             queue: RefCell::default(),
             throttle: RefCell::default(),
+            named_limits: RefCell::default(),
             limits: RefCell::default(),
+            sharing_hosts: Cell::default(),
             waiters: RefCell::default(),
             connections: TargetConnections::default(),
             transfers,
@@ -227,7 +237,7 @@
         let state = self.state();
         let preferred = self.preferred_targets.borrow();
         self.pool.borrow_mut().update(self.now(), state.targets(), &preferred);
-        self.admission_wakeup.notify_one();
+        self.apply_limits();
     }
 
     /// Sets which targets this host prefers.
@@ -282,14 +292,53 @@
         }
     }
 
-    /// Records what a target said about the rate of requests that it takes.
-    pub(crate) fn record_limit(&self, limit: TargetLimit) {
-        let (holder, per_second) = (limit.holder.clone(), limit.per_second);
-        if !self.limits.borrow_mut().record(limit) {
-            return;
+    /// Records what a target said to this host about the rate of requests that it takes.
+    pub(crate) fn record_named_limit(&self, limit: TargetLimit) {
+        self.named_limits.borrow_mut().record(limit.clone());
+        self.record_limits([limit]);
+    }
+
+    /// Records what targets said to any host about the rate of requests that they take.
+    pub(crate) fn record_limits(&self, limits: impl IntoIterator<Item = TargetLimit>) {
+        let mut is_changed = false;
+        for limit in limits {
+            let (holder, per_second) = (limit.holder.clone(), limit.per_second);
+            if self.limits.borrow_mut().record(limit) {
+                log_limit(&holder, per_second);
+                is_changed = true;
+            }
+        }
+        if is_changed {
+            self.apply_limits();
+        }
+    }
+
+    /// Records the number of entry hosts in all zones, as reported by the leader.
+    pub(crate) fn record_host_count(&self, count: usize) {
+        self.host_count.set(count);
+        self.pool.borrow_mut().set_host_count(count);
+        let mut sharing_hosts = self.sharing_hosts.get();
+        let before = sharing_hosts.peak();
+        sharing_hosts.record(self.now(), u32::try_from(count).unwrap_or(u32::MAX));
+        self.sharing_hosts.set(sharing_hosts);
+        if sharing_hosts.peak() != before {
+            self.apply_limits();
         }
-        let named = per_second.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
-        log::info!("event=target_limit target={holder} per_second={named}");
+    }
+
+    /// Applies the limits of targets to the pool, and drops those of targets that have ended.
+    fn apply_limits(&self) {
+        let now = self.now();
+        let mut pool = self.pool.borrow_mut();
+        for table in [&self.named_limits, &self.limits] {
+            table.borrow_mut().expire(now, |holder| {
+                pool.target(&holder.target).is_some_and(|target| target.record.run == holder.run)
+            });
+        }
+        let host_count = self.sharing_hosts.get().peak().unwrap_or(UNKNOWN_HOST_COUNT);
+        pool.set_limits(now, &self.limits.borrow(), host_count);
+        drop(pool);
+        self.admission_wakeup.notify_one();
     }
 
     /// Takes one retry from the service's budget. Returns `false` if none is left.
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -254,7 +254,7 @@
         metadata.request_id.is_some() && metadata.request_id == request.metadata.request_id;
     let status = head.status;
     if is_id_echoed && (metadata.rate_limit.is_some() || !metadata.is_refusal) {
-        host.record_limit(TargetLimit {
+        host.record_named_limit(TargetLimit {
             holder: permit.holder.clone(),
             per_second: metadata.rate_limit,
             stated_at: host.now(),
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -1,6 +1,9 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use gw_agreement::Message;
+use gw_balance::LimitTable;
+use gw_balance::TargetLimit;
 use gw_dispatch::QuarantineEntry;
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
@@ -13,6 +16,7 @@
 use gw_types::HostName;
 use gw_types::ServiceName;
 use gw_types::TargetName;
+use gw_types::Timestamp;
 use gw_types::ZoneName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -70,6 +74,41 @@
     pub(crate) milliseconds: u32,
 }
 
+/// What a run of a target last said about the rate of requests that it takes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LimitReport {
+    pub(crate) holder: RangeHolder,
+    /// Requests per second from all entry hosts together; `None` if it takes all.
+    pub(crate) per_second: Option<f64>,
+    /// Time since it said so, in milliseconds; clocks of hosts are not synchronized.
+    pub(crate) age_millis: u32,
+}
+
+impl LimitReport {
+    /// Returns the reports about all limits in `table`.
+    pub(crate) fn of(now: Timestamp, table: &LimitTable) -> Vec<Self> {
+        let report = |limit: &TargetLimit| Self {
+            holder: limit.holder.clone(),
+            per_second: limit.per_second,
+            age_millis: u32::try_from(now.since(limit.stated_at).as_millis()).unwrap_or(u32::MAX),
+        };
+        table.limits().iter().map(report).collect()
+    }
+
+    /// Returns the statement on the receiver's clock.
+    pub(crate) fn received(&self, now: Timestamp) -> TargetLimit {
+        let age = Duration::from_millis(u64::from(self.age_millis));
+        let (holder, per_second) = (self.holder.clone(), self.per_second);
+        TargetLimit { holder, per_second, stated_at: now - age }
+    }
+}
+
+/// Logs that a target has named another limit, or none.
+pub(crate) fn log_limit(holder: &RangeHolder, per_second: Option<f64>) {
+    let named = per_second.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+    log::info!("event=target_limit target={holder} per_second={named}");
+}
+
 /// Observations of an entry host since its previous report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct EntryReport {
@@ -84,6 +123,8 @@
     /// Requests that may have crashed targets; empty unless the receiver is the leader and
     /// something has changed.
     pub(crate) crashes: Vec<QuarantineEntry>,
+    /// Limits that targets have named; empty unless the receiver is the leader.
+    pub(crate) limits: Vec<LimitReport>,
 }
 
 /// Information for entry hosts beyond the replicated state. Sent only when it has changed.
@@ -124,6 +165,8 @@
     pub(crate) host_count: u32,
     /// From the leader: holders that receive more requests than they can process, sorted by holder.
     pub(crate) shares: Vec<ShareReport>,
+    /// From the leader: limits that targets have named to any entry host.
+    pub(crate) limits: Vec<LimitReport>,
     /// `None` if nothing has changed since the last message on this connection.
     pub(crate) details: Option<HeadDetails>,
 }
