fix(gw-agreement, gw-gateway): a control host counts as current only with what was acknowledged

Callers saw: after a common restart a route that had been acknowledged was answered 404, and entry hosts were ready with an older configuration.

Cause: a follower counted as current as soon as it heard the leader. Entry hosts that restarted too took that state, were ready and denied the routes added since.

Class: freshness was judged by contact instead of content. Fix: a follower is caught up once it has applied an entry of the current term and the highest commit index that a leader has named to it. Entry hosts count as caught up with the newest state that any control host has announced, and say that a route does not exist only after that.

Ruled out: lost entries; the newer configuration came 0.25 to 0.4 s later.

--- a/crates/gw-agreement/src/follower_replication.rs
+++ b/crates/gw-agreement/src/follower_replication.rs
@@ -33,6 +33,7 @@
                 commit_index,
                 sent_at,
             } => {
+                self.leader_commit_index = self.leader_commit_index.max(Some(commit_index));
                 let response =
                     self.handle_append((previous_term, previous_index), entries, commit_index);
                 let response = response.map(|response| response.into_body(sent_at));
--- a/crates/gw-agreement/src/replica_node.rs
+++ b/crates/gw-agreement/src/replica_node.rs
@@ -47,6 +47,8 @@
     pub(crate) last_synced: LogIndex,
     /// Last entry known to be committed. Never decreases.
     pub(crate) commit_index: LogIndex,
+    /// Highest commit index that a leader has sent to this replica; `None` until the first one.
+    pub(crate) leader_commit_index: Option<LogIndex>,
     /// Last entry that was returned as committed or is covered by a snapshot. At most
     /// `commit_index` and `last_synced`.
     pub(crate) last_applied: LogIndex,
@@ -88,6 +90,7 @@
             synced_hard_state: hard_state,
             last_synced: log.last_index(),
             commit_index: log.base_index(),
+            leader_commit_index: None,
             last_applied: log.base_index(),
             log,
             last_leader_contact: now,
@@ -361,6 +364,16 @@
         self.role.leader_state().and_then(|state| self.majority_contact(now, state))
     }
 
+    /// Returns whether the state of this follower contains everything that was acknowledged when the
+    /// leader last sent entries. A replica that restarts hears the leader before that: it has to
+    /// apply an entry of the current term, since a new leader does not know yet what earlier ones
+    /// have committed, and all entries that the leader has named as committed.
+    pub fn is_caught_up(&self) -> bool {
+        self.leader_hint().is_some()
+            && self.log.term_at(self.last_applied) == Some(self.hard_state.term)
+            && self.leader_commit_index.is_some_and(|index| self.last_applied >= index)
+    }
+
     /// Returns the length of the period before this replica became leader in which no other leader
     /// can have sent a round of messages that a majority responded to. Zero if this replica does
     /// not lead.
--- a/crates/gw-agreement/tests/scenarios.rs
+++ b/crates/gw-agreement/tests/scenarios.rs
@@ -149,6 +149,54 @@
     Ok(())
 }
 
+/// Guards against a restarted replica that counts as up to date because it hears the leader, while
+/// it still has the state of its last snapshot.
+#[test]
+fn replicas_are_up_to_date_only_with_what_was_acknowledged_before_a_restart() -> TestResult {
+    let options = ClusterOptions { snapshot_every: 100, snapshot_bytes: 500, ..options() };
+    // All replicas, or only one that follows the same leader as before.
+    for crash_all in [true, false] {
+        let mut stale_followers = 0;
+        for seed in SEEDS {
+            let (mut cluster, leader) = start_cluster(seed, 3, 0, options.clone())?;
+            for _ in 0..150 {
+                cluster.propose(leader)?;
+                cluster.run(5)?;
+            }
+            cluster.run(1_000)?;
+            let follower = HostId(leader.0 % 3 + 1);
+            let crashed = if crash_all { cluster.hosts() } else { vec![follower] };
+            // No message from before the crash is on its way any more when a replica restarts.
+            crashed.iter().for_each(|host| cluster.crash(*host, 2_000));
+            for _ in 0..if crash_all { 0 } else { 60 } {
+                cluster.propose(leader)?;
+                cluster.run(5)?;
+            }
+            let acknowledged = *cluster.checks.acknowledged.keys().max().expect("an entry");
+            for _ in 0..2_000 + TAKEOVER_MILLIS {
+                cluster.run(1)?;
+                for &host in &crashed {
+                    let applied = cluster.applied(host);
+                    let Some(running) = cluster.running(host) else { continue };
+                    let is_caught_up = running.node.is_caught_up();
+                    assert!(!is_caught_up || applied >= acknowledged, "seed {seed} {host:?}");
+                    let hears_leader = running.node.leader_hint().is_some();
+                    stale_followers += u32::from(hears_leader && applied < acknowledged);
+                }
+            }
+            assert!(commit_one(&mut cluster, TAKEOVER_MILLIS)?);
+            cluster.run(500)?;
+            let leader = cluster.leader().expect("a leader");
+            for host in cluster.hosts().into_iter().filter(|host| *host != leader) {
+                let running = cluster.running(host).expect("a running replica");
+                assert!(running.node.is_caught_up(), "seed {seed} {host:?}");
+            }
+        }
+        assert!(stale_followers > 0, "the case occurs, crash_all {crash_all}");
+    }
+    Ok(())
+}
+
 /// Guards against a new member that counts towards a majority before it has the log.
 #[test]
 fn new_member_votes_only_once_caught_up() -> TestResult {
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -188,7 +188,7 @@
     }
 
     /// Whether this host is in contact with a majority, either as leader or through a leader that
-    /// it has heard recently.
+    /// it has heard recently, and its state contains everything that earlier leaders acknowledged.
     pub(crate) fn is_current(&self) -> bool {
         let now = self.now();
         let replica = self.replica.borrow();
@@ -197,9 +197,7 @@
         if node.is_leader() {
             return node.has_quorum(now) && replica.leads_since.is_some();
         }
-        node.leader_hint().is_some()
-            && now.since(node.last_leader_contact()) < CONTACT_TIMEOUT
-            && self.log.borrow().applied() > 0
+        node.is_caught_up() && now.since(node.last_leader_contact()) < CONTACT_TIMEOUT
     }
 
     /// Starts the replica from the journal in its data directory.
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -300,10 +300,9 @@
         let learned = self.host.learned.borrow();
         let heads = self.links.iter().filter_map(|link| Some((link, link.head.as_ref()?)));
         let newest = heads.clone().max_by_key(|(_, head)| head.index);
-        let is_caught_up = |(link, head): (&ControlLink, &HeadMessage)| {
-            Self::is_usable(link, now) && learned.contains(head.index)
-        };
-        if !self.host.has_caught_up.get() && heads.clone().any(is_caught_up) {
+        let has_usable = heads.clone().any(|(link, _)| Self::is_usable(link, now));
+        let is_caught_up = newest.is_some_and(|(_, head)| learned.contains(head.index));
+        if !self.host.has_caught_up.get() && has_usable && is_caught_up {
             log::info!("event=state_current index={}", learned.applied());
             self.host.has_caught_up.set(true);
         }
