fix(gw-gateway): a replica answers members whose address it has not saved

Cause: a replica saves the address of a new member up to a quarter of a second after it has applied its addition, and not at all if it has only logged it. If power is lost in between, it could receive that member's request for a vote and had no way to answer.

Fix: a replica that cannot be reached by its address is answered over the connection on which it was last heard.

--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -283,11 +283,13 @@
         known.map(|known| known.peers).or_else(|| saved.next().map(|(_, peers)| *peers))
     }
 
-    /// Returns the connection that this host opened to a replica.
+    /// Returns the connection that this host opened to a replica, or else the one over which the
+    /// replica was last heard: its address may not be known.
     pub(crate) fn link_to(&self, id: HostId) -> Option<LinkHandle> {
-        let address = self.peer_address(id)?;
+        let address = self.peer_address(id);
         let links = self.links.borrow();
-        let own = links.iter().filter(|link| link.is_outbound && link.peer == address);
-        own.map(|link| link.link.clone()).next_back()
+        let own = links.iter().rfind(|link| link.is_outbound && Some(link.peer) == address);
+        let heard = || links.iter().rfind(|link| link.replica == Some(id));
+        own.or_else(heard).map(|link| link.link.clone())
     }
 }
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -5,6 +5,7 @@
 use gw_fleet::FleetState;
 use gw_ranges::HolderShare;
 use gw_ranges::RangeHolder;
+use gw_types::HostId;
 use gw_types::HostName;
 use gw_types::Timestamp;
 use gw_types::ZoneName;
@@ -32,6 +33,8 @@
     pub(crate) is_outbound: bool,
     /// Name, zone and kind of the other host; `None` until it has sent them.
     pub(crate) hello: Option<(HostName, ZoneName, HostKind)>,
+    /// The replica of the other host, if it has sent consensus messages over this connection.
+    pub(crate) replica: Option<HostId>,
     /// Whether the other host receives every change as it is applied.
     pub(crate) is_streaming: bool,
     /// Log index up to which changes were sent to the other host.
@@ -95,6 +98,7 @@
                     peer,
                     is_outbound,
                     hello: None,
+                    replica: None,
                     is_streaming: false,
                     sent_through: 0,
                     clock: None,
@@ -129,6 +133,7 @@
                     link.send(&LinkMessage::Removed { id: from });
                     return;
                 }
+                update_link(host, &link, |known| known.replica = Some(from));
                 host.handle_agreement(from, message);
             }
             LinkMessage::Join { folder, peers, calls } => {
