fix(gw-fleet): a removal long ago does not hide a successor

A group that had removed a silent replica for good counted the next newcomer as its replacement, so that the replica that the newcomer really replaced stayed a voter for 8 s. Changes that are a window apart are no longer counted together.

--- a/crates/gw-fleet/tests/lost_replicas.rs
+++ b/crates/gw-fleet/tests/lost_replicas.rs
@@ -118,6 +118,11 @@
         WindowCase { name: "long ago", steps: &[Added, Seconds(11)], is_open: false },
         WindowCase { name: "it replaced one", steps: &[Added, Removed], is_open: false },
         WindowCase { name: "a lost disk", steps: &[Removed, Added], is_open: false },
+        WindowCase {
+            name: "another one was removed long ago",
+            steps: &[Removed, Seconds(11), Added],
+            is_open: true,
+        },
         WindowCase { name: "two newcomers", steps: &[Added, Added, Removed], is_open: true },
     ];
     for case in cases {
@@ -126,7 +131,7 @@
         for step in case.steps {
             match step {
                 Added => window.record_added(now),
-                Removed => window.record_removed(),
+                Removed => window.record_removed(now),
                 Seconds(seconds) => now = now + Duration::from_secs(*seconds),
             }
         }
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -116,6 +116,7 @@
     pub(crate) majority_seen_at: Cell<Timestamp>,
     /// When this leader first saw each other replica as a member.
     pub(crate) first_seen: RefCell<BTreeMap<HostId, Timestamp>>,
+    /// Whether a replica has recently joined in place of another one.
     pub(crate) replacement: Cell<ReplacementWindow>,
     /// When another control host was last heard over a connection, by its address. Known on
     /// followers as well, so that a new leader need not wait to learn who is silent.
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -142,7 +142,7 @@
         let mut window = self.replacement.get();
         match count.cmp(&count_before) {
             Ordering::Greater if count_before > 0 => window.record_added(self.now()),
-            Ordering::Less => window.record_removed(),
+            Ordering::Less => window.record_removed(self.now()),
             _ => return,
         }
         self.replacement.set(window);
