refactor(gw-balance, gw-gateway): one check for serving targets, one count of a key range's queue

What limits of targets added stood there already: whether a target is serving in has_targets and is_available, and the count of queued requests for a key range twice in admission.rs. Each is one function now. The behaviour is the same.

--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -244,21 +244,14 @@
     /// Returns whether `service` has a target that accepts new requests, including targets that are
     /// paused.
     pub fn has_targets(&self, service: &ServiceName) -> bool {
-        let is_serving = |target: &TargetView| {
-            target.record.phase == gw_fleet::TargetPhase::Serving && !target.has_ended()
-        };
-        self.targets_of(service).any(is_serving)
+        self.targets_of(service).any(TargetView::is_serving)
     }
 
     /// Returns the time until the limits that the targets of `service` have named allow this host's
     /// next request to one of them; `None` if the service has no target that is ready but for its
     /// limit.
     pub fn limit_wait(&self, now: Timestamp, service: &ServiceName) -> Option<Duration> {
-        let is_ready = |target: &&TargetView| {
-            target.record.phase == gw_fleet::TargetPhase::Serving
-                && !target.has_ended()
-                && !target.is_paused(now)
-        };
+        let is_ready = |target: &&TargetView| target.is_serving() && !target.is_paused(now);
         self.targets_of(service).filter(is_ready).map(|target| target.limit_wait(now)).min()
     }
 
--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -95,8 +95,12 @@
 
     /// Returns whether requests may be sent to the target.
     pub fn is_available(&self, now: Timestamp) -> bool {
-        let is_serving = self.record.phase == TargetPhase::Serving && !self.has_ended;
-        is_serving && !self.is_paused(now) && self.limit_wait(now).is_zero()
+        self.is_serving() && !self.is_paused(now) && self.limit_wait(now).is_zero()
+    }
+
+    /// Returns whether the target accepts new requests, even if it is paused or limited.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.record.phase == TargetPhase::Serving && !self.has_ended
     }
 
     /// Returns the time until the limit that the target has named allows this host's next request;
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -4,7 +4,9 @@
 
 use gw_balance::AttemptOutcome;
 use gw_balance::HolderAvailability;
+use gw_balance::RequestQueue;
 use gw_balance::WaitingRequest;
+use gw_ranges::KeyRange;
 use gw_ranges::RangeHolder;
 use gw_types::ServiceName;
 use gw_types::TargetName;
@@ -155,9 +157,13 @@
     };
     let state = host.state();
     let Some(table) = state.table(&params.service) else { return false };
-    let range = table.find(key).range;
+    count_ahead_in_range(&queue, params, table.find(key).range) > 0
+}
+
+/// Counts the queued requests for keys of `range` that take precedence.
+fn count_ahead_in_range(queue: &RequestQueue, params: &AdmissionParams, range: KeyRange) -> usize {
     let is_same = |other: Option<u16>| other.is_some_and(|other| range.contains(other));
-    queue.count_ahead_for_keys(&params.service, params.priority, is_same) > 0
+    queue.count_ahead_for_keys(&params.service, params.priority, is_same)
 }
 
 /// Selects a target that the request may be sent to now: the holder of its key, or for services
@@ -235,13 +241,8 @@
     let target = assignment.holder.as_ref().and_then(|holder| pool.target(&holder.target));
     match (availability, target) {
         (Some(HolderAvailability::Busy | HolderAvailability::Available), Some(target)) => {
-            let range = assignment.range;
             let response_time = target.response_time(now).unwrap_or(response_time);
-            let ahead = host.queue.borrow().count_ahead_for_keys(
-                &params.service,
-                params.priority,
-                |other| other.is_some_and(|other| range.contains(other)),
-            );
+            let ahead = count_ahead_in_range(&host.queue.borrow(), params, assignment.range);
             let turns = (ahead + 1) as f64 / f64::from(target.in_flight.max(1));
             WaitEstimate::Wait(Duration::from_secs_f64(turns * response_time))
         }
@@ -251,12 +252,7 @@
             WaitEstimate::Wait(target.remaining_pause(now))
         }
         (Some(HolderAvailability::Limited), Some(target)) => {
-            let range = assignment.range;
-            let ahead = host.queue.borrow().count_ahead_for_keys(
-                &params.service,
-                params.priority,
-                |other| other.is_some_and(|other| range.contains(other)),
-            );
+            let ahead = count_ahead_in_range(&host.queue.borrow(), params, assignment.range);
             let turns = u32::try_from(ahead).unwrap_or(u32::MAX);
             let interval = target.limit_interval();
             wait_for_limit(target.limit_wait(now) + interval.saturating_mul(turns))
