feat(gw-balance, gw-gateway): hosts log when they have lost their path to targets

PathMonitor counts connections that failed to different targets with none that succeeded between them; when exchanges are silent, up to three targets are probed by connections that are kept for requests. The host logs target_path_lost and target_path_restored and sets the gauge target_path_lost. Routing is unchanged.

Connections to targets are opened through the port TargetDialer, so that a test can cut the path of one host and leave that of others intact: on loopback all processes share one network.

--- a/crates/gw-balance/src/lib.rs
+++ b/crates/gw-balance/src/lib.rs
@@ -4,7 +4,7 @@
 //! host's own requests: response times, requests in flight and failures. [`HolderThrottle`] limits
 //! the requests to overloaded holders of keys. [`RequestQueue`] holds requests that wait for a free
 //! target, most urgent first. [`LinkPacer`] and [`TransferLoad`] keep large responses from filling
-//! the host's link. The crate does no I/O and reads no clock: callers pass in the current time.
+//! the host's link. [`PathMonitor`] tells whether the host has lost its path to targets. The crate does no I/O and reads no clock: callers pass in the current time.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
@@ -14,6 +14,7 @@
 mod host_count;
 mod limit_table;
 mod link_pacer;
+mod path_monitor;
 mod preferred_targets;
 mod request_queue;
 mod service_targets;
@@ -29,6 +30,7 @@
 pub use limit_table::LimitTable;
 pub use limit_table::TargetLimit;
 pub use link_pacer::LinkPacer;
+pub use path_monitor::PathMonitor;
 pub use preferred_targets::PreferredTargets;
 pub use request_queue::RequestQueue;
 pub use request_queue::WaitingRequest;
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -148,6 +148,11 @@
         &self.targets
     }
 
+    /// Returns the targets that accept new requests, including targets that are paused.
+    pub fn serving(&self) -> impl Iterator<Item = &TargetView> {
+        self.targets.iter().filter(|target| target.is_serving())
+    }
+
     fn group(&self, service: &ServiceName) -> Option<&ServiceTargets> {
         let found = self.services.binary_search_by(|group| group.service.cmp(service));
         found.ok().map(|index| &self.services[index])
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -35,6 +35,7 @@
 use crate::link::LinkHandle;
 use crate::link::LinkMessage;
 use crate::ports::ProtocolAdapter;
+use crate::ports::TargetDialer;
 use crate::targets::TargetConnections;
 
 /// Longest time since the last message of a leader for a follower to count as in contact with the
@@ -136,6 +137,7 @@
     pub(crate) fn new(
         settings: GatewaySettings,
         adapter: Rc<dyn ProtocolAdapter>,
+        dialer: Rc<dyn TargetDialer>,
         control_address: SocketAddr,
     ) -> Rc<Self> {
         let clock = BootClock;
@@ -143,7 +145,7 @@
             adapter,
             metrics: GatewayMetrics::default(),
             control_address,
-            connections: TargetConnections::default(),
+            connections: TargetConnections::new(dialer),
             identity: RefCell::default(),
             replica: RefCell::default(),
             log: RefCell::default(),
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -25,6 +25,7 @@
 use crate::link::accept_links;
 use crate::ports::ProtocolAdapter;
 use crate::ports::SettingsSource;
+use crate::ports::TargetDialer;
 use crate::process::bind;
 use crate::process::serve_metrics;
 use crate::process::shutdown_signal;
@@ -43,6 +44,7 @@
 pub(crate) async fn run_control(
     settings: GatewaySettings,
     adapter: Rc<dyn ProtocolAdapter>,
+    dialer: Rc<dyn TargetDialer>,
     source: Rc<dyn SettingsSource>,
     control_address: SocketAddr,
 ) -> Result<(), RunError> {
@@ -50,7 +52,7 @@
     let peers = SocketAddr::new(settings.address, settings.peer_port);
     let peers = bind("peers", peers).await?;
     let metrics = SocketAddr::new(settings.address, settings.peer_port + 1);
-    let host = ControlHost::new(settings, adapter, control_address);
+    let host = ControlHost::new(settings, adapter, dialer, control_address);
     host.load_identity().map_err(|error| RunError::Data(error.to_string()))?;
     let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
     spawn_local(accept_links(peers, events.clone()));
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -40,6 +40,7 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::link::log_limit;
 use crate::ports::ProtocolAdapter;
+use crate::ports::TargetDialer;
 use crate::targets::TargetConnections;
 
 /// Shortest time between two updates of the target pool.
@@ -83,6 +84,8 @@
     sharing_hosts: Cell<HostCount>,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<SendPermit>>>,
     pub(crate) connections: TargetConnections,
+    /// Whether this host has lost its path to targets, as last logged.
+    is_path_lost: Cell<bool>,
     /// Keeps large responses from filling the link.
     pub(crate) transfers: TransferGate,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
@@ -107,7 +110,11 @@
 }
 
 impl EntryHost {
-    pub(crate) fn new(settings: GatewaySettings, adapter: Rc<dyn ProtocolAdapter>) -> Rc<Self> {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        adapter: Rc<dyn ProtocolAdapter>,
+        dialer: Rc<dyn TargetDialer>,
+    ) -> Rc<Self> {
         let transfers = TransferGate::new(settings.link_rate);
         let pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
         Rc::new(Self {
@@ -127,7 +134,8 @@
             limits: RefCell::default(),
             sharing_hosts: Cell::default(),
             waiters: RefCell::default(),
-            connections: TargetConnections::default(),
+            connections: TargetConnections::new(dialer),
+            is_path_lost: Cell::new(false),
             transfers,
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
             in_flight: RefCell::default(),
@@ -162,6 +170,18 @@
         self.has_caught_up.get() && self.state().config().is_some() && !self.is_stopping.get()
     }
 
+    /// Records a change of this host's path to targets.
+    pub(crate) fn update_path(&self) {
+        let is_lost = self.connections.path().is_lost();
+        if self.is_path_lost.replace(is_lost) == is_lost {
+            return;
+        }
+        self.metrics.is_path_lost.set(i64::from(is_lost));
+        let event = if is_lost { "target_path_lost" } else { "target_path_restored" };
+        let known = self.pool.borrow().serving().count();
+        log::info!("event={event} targets={known} waiting={}", self.queue.borrow().len());
+    }
+
     /// Returns the replicated state.
     pub(crate) fn state(&self) -> Ref<'_, FleetState> {
         Ref::map(self.learned.borrow(), LearnedState::state)
--- a/crates/gw-gateway/src/entry/mod.rs
+++ b/crates/gw-gateway/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod entry_host;
 mod forwarded_stream;
 mod local_reply;
+mod path_probe;
 mod read_request;
 mod request_handler;
 mod run_entry;
--- a/crates/gw-gateway/src/entry/run_entry.rs
+++ b/crates/gw-gateway/src/entry/run_entry.rs
@@ -16,11 +16,13 @@
 use crate::entry::admission::run_admission;
 use crate::entry::control_links::ControlLinks;
 use crate::entry::entry_host::EntryHost;
+use crate::entry::path_probe::watch_path;
 use crate::entry::request_handler::RequestHandler;
 use crate::http_server::ConnectionCount;
 use crate::http_server::serve;
 use crate::ports::ProtocolAdapter;
 use crate::ports::SettingsSource;
+use crate::ports::TargetDialer;
 use crate::process::bind;
 use crate::process::serve_metrics;
 use crate::process::shutdown_signal;
@@ -38,6 +40,7 @@
 pub(crate) async fn run_entry(
     settings: GatewaySettings,
     adapter: Rc<dyn ProtocolAdapter>,
+    dialer: Rc<dyn TargetDialer>,
     source: Rc<dyn SettingsSource>,
     callers: SocketAddr,
 ) -> Result<(), RunError> {
@@ -48,11 +51,12 @@
     };
     let grace_time = settings.grace_time;
     let metrics = SocketAddr::new(settings.address, settings.peer_port + 1);
-    let host = EntryHost::new(settings, adapter);
+    let host = EntryHost::new(settings, adapter, dialer);
     let shared = host.clone();
     spawn_local(serve_metrics(metrics, move || shared.metrics.text()));
     spawn_local(ControlLinks::run(host.clone()));
     spawn_local(run_admission(host.clone()));
+    spawn_local(watch_path(host.clone()));
     if let Some(listener) = readiness {
         spawn_local(serve_readiness(listener, host.clone()));
     }
--- a/crates/gw-gateway/src/gateway_metrics.rs
+++ b/crates/gw-gateway/src/gateway_metrics.rs
@@ -41,6 +41,7 @@
     pub(crate) state_index: Gauge,
     pub(crate) connections_opened: Gauge,
     pub(crate) is_leader: Gauge,
+    pub(crate) is_path_lost: Gauge,
     pub(crate) dropped_lines: Gauge,
 }
 
@@ -59,6 +60,7 @@
             state_index: Gauge::default(),
             connections_opened: Gauge::default(),
             is_leader: Gauge::default(),
+            is_path_lost: Gauge::default(),
             dropped_lines: Gauge::default(),
         };
         metrics.register();
@@ -87,6 +89,8 @@
         let help = "Connections to targets made since the start";
         registry.register("target_connections_opened", help, self.connections_opened.clone());
         registry.register("control_leader", "1 on the control leader", self.is_leader.clone());
+        let help = "1 while no target can be reached from this host";
+        registry.register("target_path_lost", help, self.is_path_lost.clone());
         let help = "Log lines dropped since the start";
         registry.register("log_lines_dropped", help, self.dropped_lines.clone());
     }
--- a/crates/gw-gateway/src/ports/mod.rs
+++ b/crates/gw-gateway/src/ports/mod.rs
@@ -11,6 +11,7 @@
 mod request_metadata;
 mod response_metadata;
 mod settings_source;
+mod target_dialer;
 
 pub use attempt_metadata::AttemptMetadata;
 pub use call_error::CallError;
@@ -22,3 +23,5 @@
 pub use request_metadata::RequestMetadata;
 pub use response_metadata::ResponseMetadata;
 pub use settings_source::SettingsSource;
+pub use target_dialer::TargetDialer;
+pub use target_dialer::TcpDialer;
--- /dev/null
+++ b/crates/gw-gateway/src/ports/target_dialer.rs
@@ -0,0 +1,28 @@
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use tokio::net::TcpStream;
+
+/// Opens connections to targets and to other entry hosts.
+pub trait TargetDialer {
+    /// Opens a connection to `address`.
+    fn dial(
+        &self,
+        address: SocketAddr,
+    ) -> Pin<Box<dyn Future<Output = io::Result<TcpStream>> + '_>>;
+}
+
+/// Opens connections over the host's network.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TcpDialer;
+
+impl TargetDialer for TcpDialer {
+    fn dial(
+        &self,
+        address: SocketAddr,
+    ) -> Pin<Box<dyn Future<Output = io::Result<TcpStream>> + '_>> {
+        Box::pin(TcpStream::connect(address))
+    }
+}
--- a/crates/gw-gateway/src/process.rs
+++ b/crates/gw-gateway/src/process.rs
@@ -18,6 +18,7 @@
 use crate::http_server::serve;
 use crate::ports::ProtocolAdapter;
 use crate::ports::SettingsSource;
+use crate::ports::TargetDialer;
 
 /// Error that ends the process.
 #[derive(Debug, thiserror::Error)]
@@ -44,10 +45,11 @@
 }
 
 /// Runs an entry host or a control host, depending on which listener the settings contain, until it
-/// is told to stop and has shut down.
+/// is told to stop and has shut down. Connections to targets are opened by `dialer`.
 pub fn run(
     settings: GatewaySettings,
     adapter: Rc<dyn ProtocolAdapter>,
+    dialer: Rc<dyn TargetDialer>,
     source: Rc<dyn SettingsSource>,
 ) -> Result<(), RunError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -61,8 +63,8 @@
     let tasks = LocalSet::new();
     tasks.block_on(&runtime, async move {
         match (settings.caller_address, settings.control_address) {
-            (Some(callers), _) => run_entry(settings, adapter, source, callers).await,
-            (None, Some(calls)) => run_control(settings, adapter, source, calls).await,
+            (Some(callers), _) => run_entry(settings, adapter, dialer, source, callers).await,
+            (None, Some(calls)) => run_control(settings, adapter, dialer, source, calls).await,
             (None, None) => Err(RunError::NoListener),
         }
     })
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -1,3 +1,5 @@
+use std::cell::Cell;
+use std::cell::Ref;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -5,6 +7,9 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use gw_balance::PathMonitor;
+use gw_daemon::BootClock;
+use gw_types::Clock;
 use http::Request;
 use http::Response;
 use http::header;
@@ -15,12 +20,12 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::ports::TargetDialer;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
 use crate::targets::StreamedReply;
@@ -61,13 +66,35 @@
 }
 
 /// Pool of connections to targets. Each connection carries one request at a time.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone)]
 pub(crate) struct TargetConnections {
+    dialer: Rc<dyn TargetDialer>,
     idle: Rc<RefCell<Vec<IdleConnection>>>,
-    opened: Rc<std::cell::Cell<u64>>,
+    opened: Rc<Cell<u64>>,
+    path: Rc<RefCell<PathMonitor>>,
 }
 
 impl TargetConnections {
+    pub(crate) fn new(dialer: Rc<dyn TargetDialer>) -> Self {
+        Self { dialer, idle: Rc::default(), opened: Rc::default(), path: Rc::default() }
+    }
+
+    /// Returns what the exchanges say about this host's path to targets.
+    pub(crate) fn path(&self) -> Ref<'_, PathMonitor> {
+        self.path.borrow()
+    }
+
+    /// Whether a connection to `address` can be opened. The connection is kept for requests.
+    pub(crate) async fn probe(&self, address: SocketAddr) -> bool {
+        match self.connect(address, Instant::now() + CONNECT_TIMEOUT).await {
+            Ok(connection) => {
+                self.keep(address, connection, DEFAULT_IDLE_TIME);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Returns the number of connections opened since the start.
     pub(crate) fn opened(&self) -> u64 {
         self.opened.get()
@@ -105,10 +132,14 @@
         deadline: Instant,
     ) -> Result<TargetConnection, String> {
         let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let stream = match timeout_at(until, TcpStream::connect(address)).await {
-            Ok(connected) => connected.map_err(|error| error.to_string())?,
-            Err(_) => return Err("no connection in time".to_owned()),
+        let connected = match timeout_at(until, self.dialer.dial(address)).await {
+            Ok(connected) => connected.map_err(|error| error.to_string()),
+            Err(_) => Err("no connection in time".to_owned()),
         };
+        let stream = connected.inspect_err(|_| {
+            self.path.borrow_mut().record_unreachable(BootClock.now(), address);
+        })?;
+        self.path.borrow_mut().record_connected();
         let configured = set_socket_options(&stream).and_then(|()| reset_on_close(&stream));
         configured.map_err(|error| error.to_string())?;
         self.opened.set(self.opened.get() + 1);
@@ -154,7 +185,11 @@
                 return ExchangeOutcome::NotSent("sending is no longer allowed".to_owned());
             }
             let started = Instant::now();
+            self.path.borrow_mut().record_sent(BootClock.now());
             let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
+            if sent.is_ok() {
+                self.path.borrow_mut().record_response();
+            }
             match sent {
                 Err(_) => return ExchangeOutcome::TimedOut,
                 Ok(Ok(response)) => {
--- a/crates/gw-gateway/src/targets/target_stream.rs
+++ b/crates/gw-gateway/src/targets/target_stream.rs
@@ -18,7 +18,6 @@
 ///
 /// Data that was received and not forwarded yet is bounded by the receive buffer of the connection.
 /// Dropping the stream before its end closes the connection, so that the target can cancel.
-#[derive(Debug)]
 pub(crate) struct TargetStream {
     /// Data that arrived before the response was known to be large.
     first: Option<Bytes>,
@@ -33,6 +32,12 @@
     pool: TargetConnections,
 }
 
+impl std::fmt::Debug for TargetStream {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("TargetStream").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
 impl TargetStream {
     pub(super) fn new(
         pool: TargetConnections,
