fix(gw-balance, gw-gateway): requests of hosts that reach no target go through other hosts

Tries ended with 503 or after their whole time with 504.

Cause: a host had one path to a target, its own, and judged each target by itself. No setting of its timeouts or retries serves a request that it cannot deliver, and readiness cannot help: a balancer uses all hosts of a zone when most are not ready, and open connections stay. Class: a resource that is redundant in the system and single for each request.

Change: the host notices that its path is lost (connections to three targets failed, none succeeded between them) and sends requests through another entry host, which admits them like its own. The leader gives each host up to six relays before they are needed. A target that cannot be connected to is handled in the same way by itself. Idempotent requests in flight, and queued ones, change to a relay as soon as the path is lost.

--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -252,6 +252,27 @@
         self.targets_of(service).any(TargetView::is_serving)
     }
 
+    /// Returns whether connections of this host to all targets of `service` failed last, though they
+    /// accept new requests.
+    pub fn is_service_unreachable(&self, now: Timestamp, service: &ServiceName) -> bool {
+        let mut serving = self.targets_of(service).filter(|target| target.is_serving()).peekable();
+        serving.peek().is_some() && serving.all(|target| target.is_unreachable(now))
+    }
+
+    /// Returns whether connections of this host to a holder of keys failed last, though it accepts
+    /// new requests.
+    pub fn is_holder_unreachable(&self, now: Timestamp, holder: &RangeHolder) -> bool {
+        let target = self.target(&holder.target).filter(|target| target.record.run == holder.run);
+        target.is_some_and(|target| !target.has_ended() && target.is_unreachable(now))
+    }
+
+    /// Records that no other host reaches the holder of keys either.
+    pub fn record_unreachable_everywhere(&mut self, holder: &RangeHolder) {
+        if let Some(target) = self.target_mut(holder) {
+            target.record_unreachable_everywhere();
+        }
+    }
+
     /// Returns the time until the limits that the targets of `service` have named allow this host's
     /// next request to one of them; `None` if the service has no target that is ready but for its
     /// limit.
--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -49,6 +49,8 @@
     /// Number of consecutive failures.
     failures: u32,
     paused_until: Timestamp,
+    /// Until when the target counts as out of this host's reach: connections to it failed last.
+    unreachable_until: Timestamp,
     /// Spaces this host's requests; `None` unless the target has named a limit on their rate.
     pacer: Option<TargetPacer>,
     /// Whether another target responded at its address, so that this run has ended.
@@ -74,6 +76,7 @@
             failure_rate: 0.0,
             failures: 0,
             paused_until: Timestamp::ZERO,
+            unreachable_until: Timestamp::ZERO,
             pacer: None,
             has_ended: false,
             last_outcome_at: now,
@@ -148,6 +151,16 @@
         now < self.paused_until
     }
 
+    /// Returns whether the last connections to the target failed. Other hosts may reach it.
+    pub fn is_unreachable(&self, now: Timestamp) -> bool {
+        now < self.unreachable_until
+    }
+
+    /// Records that no other host reaches the target either.
+    pub(crate) fn record_unreachable_everywhere(&mut self) {
+        self.unreachable_until = Timestamp::ZERO;
+    }
+
     /// Returns the remaining time of the pause; zero if the target is not paused.
     pub fn remaining_pause(&self, now: Timestamp) -> Duration {
         self.paused_until.since(now)
@@ -198,17 +211,23 @@
         };
         self.last_outcome_at = now;
         self.failure_rate += AVERAGE_WEIGHT * (f64::from(u8::from(is_failure)) - self.failure_rate);
+        if outcome != AttemptOutcome::Unreachable {
+            self.unreachable_until = Timestamp::ZERO;
+        }
         if !is_failure {
             self.failures = 0;
             return;
         }
         self.failures += 1;
+        let doublings = self.failures.saturating_sub(FAILURES_BEFORE_PAUSE).min(4);
+        let pause = (INITIAL_PAUSE * 2_u32.pow(doublings)).min(MAX_PAUSE);
+        if outcome == AttemptOutcome::Unreachable {
+            self.unreachable_until = now + pause;
+        }
         // Broken connections do not pause a target: it still processes other requests.
         let is_unresponsive =
             matches!(outcome, AttemptOutcome::Unreachable | AttemptOutcome::Unanswered);
         if is_unresponsive && self.failures >= FAILURES_BEFORE_PAUSE {
-            let doublings = (self.failures - FAILURES_BEFORE_PAUSE).min(4);
-            let pause = (INITIAL_PAUSE * 2_u32.pow(doublings)).min(MAX_PAUSE);
             self.paused_until = now + pause;
         }
     }
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -2,6 +2,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use gw_balance::RelayHost;
+use gw_balance::RelayTable;
 use gw_fleet::FleetState;
 use gw_ranges::HolderShare;
 use gw_ranges::RangeHolder;
@@ -22,6 +24,7 @@
 use crate::link::LinkEvent;
 use crate::link::LinkHandle;
 use crate::link::LinkMessage;
+use crate::link::RelayReport;
 use crate::link::ShareReport;
 use crate::link::log_limit;
 
@@ -43,6 +46,10 @@
     pub(crate) clock: Option<(u64, Timestamp)>,
     /// Details that were last sent to the other host.
     pub(crate) sent_details: Option<HeadDetails>,
+    /// Where the other host accepts requests of other entry hosts.
+    pub(crate) relay: Option<SocketAddr>,
+    /// Whether the other host can forward requests of others, as it last reported.
+    pub(crate) takes_relays: bool,
     /// Whether the other host is an entry host that has connected and received no head yet.
     pub(crate) awaits_head: bool,
 }
@@ -92,7 +99,7 @@
             LinkEvent::Opened { link, peer, is_outbound } => {
                 let settings = self.host.settings.borrow();
                 let (host, zone) = (settings.host.clone(), settings.zone.clone());
-                link.send(&LinkMessage::Hello { host, zone, kind: HostKind::Control });
+                link.send(&LinkMessage::Hello { host, zone, kind: HostKind::Control, relay: None });
                 self.host.links.borrow_mut().push(PeerLink {
                     link,
                     peer,
@@ -103,6 +110,8 @@
                     sent_through: 0,
                     clock: None,
                     sent_details: None,
+                    relay: None,
+                    takes_relays: false,
                     awaits_head: false,
                 });
             }
@@ -116,10 +125,11 @@
     fn handle_message(&mut self, link: LinkHandle, message: LinkMessage) {
         let host = &self.host;
         match message {
-            LinkMessage::Hello { host: name, zone, kind } => {
+            LinkMessage::Hello { host: name, zone, kind, relay } => {
                 log::info!("event=host_connected host={name} zone={zone} kind={kind:?}");
                 update_link(host, &link, |known| {
                     known.hello = Some((name, zone, kind));
+                    known.relay = relay;
                     known.awaits_head = kind == HostKind::Entry;
                 });
             }
@@ -184,7 +194,10 @@
 
 fn handle_report(host: &ControlHost, link: &LinkHandle, report: &EntryReport) {
     let now = host.now();
-    update_link(host, link, |known| known.clock = Some((report.clock, now)));
+    update_link(host, link, |known| {
+        known.clock = Some((report.clock, now));
+        known.takes_relays = report.takes_relays;
+    });
     let mut monitor = host.monitor.borrow_mut();
     let log = host.log.borrow();
     report.runs.iter().for_each(|answered| monitor.record_answered(now, log.state(), answered));
@@ -227,20 +240,22 @@
     let mut links = host.links.borrow_mut();
     let control_zones = connected_control_hosts(host, &links);
     let entry_hosts = connected_entry_hosts(&links);
+    let relays = if is_leader { relay_table(&links) } else { RelayTable::default() };
     let mut by_zone: BTreeMap<ZoneName, Vec<HostName>> = BTreeMap::new();
     for (name, zone) in &entry_hosts {
         by_zone.entry(zone.clone()).or_default().push(name.clone());
     }
     for link in links.iter_mut().filter(|link| link.is_entry() && is_recipient(link)) {
         link.awaits_head = false;
-        let zone = link.hello.as_ref().map(|(_, zone, _)| zone.clone());
-        let zone_hosts = zone.and_then(|zone| by_zone.get(&zone));
+        let Some((name, zone, _)) = &link.hello else { continue };
+        let zone_hosts = by_zone.get(zone);
         let details = HeadDetails {
             replicas: replicas.to_vec(),
             zone_hosts: zone_hosts.cloned().unwrap_or_default(),
             crashes: crashes.clone(),
             control_zones: control_zones.clone(),
             leader,
+            relays: relay_reports(&relays, name, zone),
         };
         let is_new = link
             .sent_details
@@ -293,6 +308,7 @@
         && sent_details.zone_hosts == details.zone_hosts
         && sent_details.control_zones == details.control_zones
         && sent_details.leader == details.leader
+        && sent_details.relays == details.relays
         && crashes(sent_details) == crashes(details)
 }
 
@@ -309,6 +325,23 @@
     hosts
 }
 
+/// Returns the entry hosts that can forward requests of others.
+fn relay_table(links: &[PeerLink]) -> RelayTable {
+    let relay = |link: &PeerLink| {
+        let (host, zone, _) = link.hello.clone().filter(|_| link.takes_relays)?;
+        Some(RelayHost { zone, host, address: link.relay? })
+    };
+    RelayTable::new(links.iter().filter_map(relay).collect())
+}
+
+fn relay_reports(relays: &RelayTable, host: &HostName, zone: &ZoneName) -> Vec<RelayReport> {
+    let report = |relay: RelayHost| RelayReport {
+        address: relay.address,
+        is_same_zone: relay.zone == *zone,
+    };
+    relays.choose(host, zone).into_iter().map(report).collect()
+}
+
 fn connected_entry_hosts(links: &[PeerLink]) -> Vec<(HostName, ZoneName)> {
     let entries = links.iter().filter(|link| link.is_entry());
     let mut hosts: Vec<(HostName, ZoneName)> = entries
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -29,7 +29,7 @@
 /// Longest wait for a target whose named limit allows no request now.
 const MAX_LIMIT_WAIT: Duration = Duration::from_millis(500);
 /// `Retry-After` when the key has no usable holder: about the duration of a move.
-const MOVE_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(crate) const MOVE_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Shortest `Retry-After` of a request refused under load.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest `Retry-After` of a request refused under load.
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -4,6 +4,7 @@
 
 use gw_balance::AnsweredRequests;
 use gw_balance::PreferredTargets;
+use gw_balance::RelayPeer;
 use gw_fleet::ControlChoice;
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
@@ -28,6 +29,7 @@
 use crate::link::LinkHandle;
 use crate::link::LinkId;
 use crate::link::LinkMessage;
+use crate::link::RelayReport;
 use crate::link::RunReport;
 use crate::link::ServiceHeat;
 use crate::link::ShareReport;
@@ -152,7 +154,8 @@
                 log::info!("event=control_connected peer={peer}");
                 let settings = self.host.settings.borrow();
                 let (host, zone) = (settings.host.clone(), settings.zone.clone());
-                link.send(&LinkMessage::Hello { host, zone, kind: HostKind::Entry });
+                let relay = Some(SocketAddr::new(settings.address, settings.peer_port));
+                link.send(&LinkMessage::Hello { host, zone, kind: HostKind::Entry, relay });
                 let last_received = self.host.now();
                 self.links.push(ControlLink { link, peer, zone: None, head: None, last_received });
             }
@@ -226,6 +229,13 @@
             self.shares_received_at = self.host.now();
         }
         if let Some(details) = details.filter(|_| head.is_current) {
+            if head.is_leader {
+                let peer = |report: &RelayReport| RelayPeer {
+                    address: report.address,
+                    is_same_zone: report.is_same_zone,
+                };
+                self.host.relays.update(details.relays.iter().map(peer));
+            }
             if knows_zone {
                 let preferred = PreferredTargets::new(details.zone_hosts.clone());
                 self.host.set_preferred_targets(preferred);
@@ -359,6 +369,7 @@
             runs: Vec::new(),
             crashes: Vec::new(),
             limits: Vec::new(),
+            takes_relays: self.host.takes_relays(),
         };
         self.ticks = self.ticks.wrapping_add(1);
         let is_follower_turn = self.ticks.is_multiple_of(FOLLOWER_REPORT_TICKS);
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -35,7 +35,9 @@
 use tokio::time::Instant;
 
 use crate::GatewaySettings;
+use crate::entry::admission::AdmissionParams;
 use crate::entry::admission::SendPermit;
+use crate::entry::relay_attempt::RelayHosts;
 use crate::entry::transfer_gate::TransferGate;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::link::log_limit;
@@ -84,8 +86,10 @@
     sharing_hosts: Cell<HostCount>,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<SendPermit>>>,
     pub(crate) connections: TargetConnections,
-    /// Whether this host has lost its path to targets, as last logged.
-    is_path_lost: Cell<bool>,
+    /// Whether this host has lost its path to targets.
+    is_path_lost: watch::Sender<bool>,
+    /// Entry hosts that forward requests while this host cannot reach targets.
+    pub(crate) relays: RelayHosts,
     /// Keeps large responses from filling the link.
     pub(crate) transfers: TransferGate,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
@@ -134,8 +138,9 @@
             limits: RefCell::default(),
             sharing_hosts: Cell::default(),
             waiters: RefCell::default(),
-            connections: TargetConnections::new(dialer),
-            is_path_lost: Cell::new(false),
+            connections: TargetConnections::new(dialer.clone()),
+            is_path_lost: watch::Sender::new(false),
+            relays: RelayHosts::new(dialer),
             transfers,
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
             in_flight: RefCell::default(),
@@ -170,16 +175,62 @@
         self.has_caught_up.get() && self.state().config().is_some() && !self.is_stopping.get()
     }
 
-    /// Records a change of this host's path to targets.
+    /// Whether this host can forward requests of other entry hosts.
+    pub(crate) fn takes_relays(&self) -> bool {
+        self.is_ready() && !self.connections.path().is_lost()
+    }
+
+    /// Whether this host cannot reach the targets that a request may be sent to, so that it has to
+    /// go through another host.
+    pub(crate) fn lacks_path(&self, params: &AdmissionParams) -> bool {
+        if self.connections.path().is_lost() {
+            return true;
+        }
+        let (now, pool) = (self.now(), self.pool.borrow());
+        match self.holder(params) {
+            Some(holder) => pool.is_holder_unreachable(now, &holder),
+            None if params.key.is_some() => false,
+            None => pool.is_service_unreachable(now, &params.service),
+        }
+    }
+
+    /// Records that no other host reaches the holder of the request's key either.
+    pub(crate) fn record_unreachable_everywhere(&self, params: &AdmissionParams) {
+        if let Some(holder) = self.holder(params) {
+            self.pool.borrow_mut().record_unreachable_everywhere(&holder);
+        }
+    }
+
+    /// Returns the holder of the request's key, if it has a key and the key has a holder.
+    fn holder(&self, params: &AdmissionParams) -> Option<RangeHolder> {
+        let state = self.state();
+        state.table(&params.service)?.find(params.key?).holder.clone()
+    }
+
+    /// Waits until this host has lost its path to targets.
+    pub(crate) async fn path_loss(&self) {
+        let mut path = self.is_path_lost.subscribe();
+        // The sender is part of this host.
+        path.wait_for(|is_lost| *is_lost).await.ok();
+    }
+
+    /// Acts on a change of this host's path to targets.
     pub(crate) fn update_path(&self) {
         let is_lost = self.connections.path().is_lost();
-        if self.is_path_lost.replace(is_lost) == is_lost {
+        if self.is_path_lost.send_replace(is_lost) == is_lost {
             return;
         }
         self.metrics.is_path_lost.set(i64::from(is_lost));
         let event = if is_lost { "target_path_lost" } else { "target_path_restored" };
         let known = self.pool.borrow().serving().count();
         log::info!("event={event} targets={known} waiting={}", self.queue.borrow().len());
+        if is_lost {
+            self.connections.close_all_idle();
+            // Queued requests stop waiting for targets and are sent through relays.
+            self.waiters.borrow_mut().clear();
+        } else {
+            self.admission_wakeup.notify_one();
+        }
     }
 
     /// Returns the replicated state.
--- a/crates/gw-gateway/src/entry/forwarded_stream.rs
+++ b/crates/gw-gateway/src/entry/forwarded_stream.rs
@@ -33,7 +33,7 @@
     stream: TargetStream,
     /// Data that was read from the target and is not passed on yet.
     rest: Bytes,
-    /// `None` once the response has ended.
+    /// `None` once the response has ended, and for responses of other entry hosts.
     permit: Option<SendPermit>,
     _slot: Option<TransferSlot>,
 }
@@ -42,7 +42,7 @@
     pub(crate) fn new(
         host: &Rc<EntryHost>,
         request: &ReadRequest,
-        permit: SendPermit,
+        permit: Option<SendPermit>,
         stream: TargetStream,
         outcome: AttemptOutcome,
         slot: Option<TransferSlot>,
@@ -55,7 +55,7 @@
             outcome,
             stream,
             rest: Bytes::new(),
-            permit: Some(permit),
+            permit,
             _slot: slot,
         }
     }
--- a/crates/gw-gateway/src/entry/mod.rs
+++ b/crates/gw-gateway/src/entry/mod.rs
@@ -7,6 +7,8 @@
 mod local_reply;
 mod path_probe;
 mod read_request;
+mod relay_attempt;
+mod relay_headers;
 mod request_handler;
 mod run_entry;
 mod target_attempt;
--- a/crates/gw-gateway/src/entry/read_request.rs
+++ b/crates/gw-gateway/src/entry/read_request.rs
@@ -14,6 +14,7 @@
 use crate::entry::admission::AdmissionParams;
 use crate::entry::entry_host::EntryHost;
 use crate::entry::local_reply::LocalReply;
+use crate::entry::relay_headers::RelayTimes;
 use crate::ports::RequestMetadata;
 
 /// Response timeout when neither the caller nor the route sets one.
@@ -23,9 +24,19 @@
 /// Part of the caller's timeout reserved for returning the response to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(5);
 
+/// Who sent a request to this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestOrigin {
+    /// A caller.
+    Caller,
+    /// Another entry host, which cannot reach targets itself.
+    EntryHost,
+}
+
 /// A completely received request with its route.
 pub(crate) struct ReadRequest {
     pub(crate) number: u64,
+    pub(crate) origin: RequestOrigin,
     pub(crate) started: Instant,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
@@ -46,11 +57,19 @@
 pub(crate) fn read_request(
     host: &Rc<EntryHost>,
     request: Request<Bytes>,
+    origin: RequestOrigin,
     started: Instant,
     number: u64,
 ) -> Result<ReadRequest, LocalReply> {
-    let (head, body) = request.into_parts();
-    let metadata = host.adapter.read_request_metadata(&head);
+    let (mut head, body) = request.into_parts();
+    let mut metadata = host.adapter.read_request_metadata(&head);
+    let mut age = Duration::ZERO;
+    if origin == RequestOrigin::EntryHost
+        && let Some(times) = RelayTimes::take(&mut head.headers)
+    {
+        metadata.timeout = Some(times.remaining);
+        age = times.age;
+    }
     let Some(config) = host.config() else {
         return Err(LocalReply::not_executed("no_configuration", STARTUP_RETRY_AFTER));
     };
@@ -77,10 +96,10 @@
         service,
         key,
         priority: rule.priority,
-        objective: started + rule.objective,
+        objective: started + rule.objective.saturating_sub(age),
         deadline: started + timeout.saturating_sub(RETURN_MARGIN),
     };
-    Ok(ReadRequest { number, started, head, body, metadata, rule, params, fingerprint })
+    Ok(ReadRequest { number, origin, started, head, body, metadata, rule, params, fingerprint })
 }
 
 /// Reply for a path without a route. A host that may have missed a configuration cannot state that
--- /dev/null
+++ b/crates/gw-gateway/src/entry/relay_attempt.rs
@@ -0,0 +1,221 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gw_balance::AttemptOutcome;
+use gw_balance::RelayPeer;
+use gw_balance::RelayPool;
+use gw_routing::RepeatRule;
+use gw_types::Timestamp;
+use http::Request;
+use http::StatusCode;
+use http::response;
+use http_body_util::Full;
+use tokio::time::Instant;
+
+use crate::callers::ResponseBody;
+use crate::entry::admission::MOVE_RETRY_AFTER;
+use crate::entry::entry_host::EntryHost;
+use crate::entry::forwarded_stream::ForwardedStream;
+use crate::entry::local_reply::LocalReply;
+use crate::entry::read_request::ReadRequest;
+use crate::entry::relay_headers::PATH_LOST;
+use crate::entry::relay_headers::RelayRefusal;
+use crate::entry::relay_headers::RelayTimes;
+use crate::entry::relay_headers::TARGET_UNREACHABLE;
+use crate::entry::target_attempt::ForwardOutcome;
+use crate::entry::target_attempt::MAX_IDLE_AT_MOST_ONCE;
+use crate::entry::target_attempt::MAX_WHOLE_BYTES;
+use crate::entry::target_attempt::build_response;
+use crate::entry::target_attempt::copy_request;
+use crate::entry::transfer_gate::TransferSlot;
+use crate::ports::TargetDialer;
+use crate::targets::ExchangeOptions;
+use crate::targets::ExchangeOutcome;
+use crate::targets::StreamedReply;
+use crate::targets::TargetConnections;
+use crate::targets::TargetReply;
+
+/// Number of relays through which a request is sent, as long as none of them can execute it.
+const MAX_RELAYS: usize = 3;
+
+/// Other entry hosts that forward requests for this host, and the connections to them.
+pub(crate) struct RelayHosts {
+    connections: TargetConnections,
+    pool: RefCell<RelayPool>,
+}
+
+impl RelayHosts {
+    pub(crate) fn new(dialer: Rc<dyn TargetDialer>) -> Self {
+        Self { connections: TargetConnections::new(dialer), pool: RefCell::default() }
+    }
+
+    /// Replaces the relays. A new leader may not know any yet, so that none does not replace them.
+    pub(crate) fn update(&self, peers: impl ExactSizeIterator<Item = RelayPeer>) {
+        if peers.len() > 0 {
+            self.pool.borrow_mut().update(peers);
+        }
+    }
+
+    fn choose(&self, now: Timestamp, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        self.pool.borrow_mut().choose(now, tried)
+    }
+}
+
+/// Sends a request through another entry host, which admits it and sends it to a target. `None` if
+/// no relay is known. A large response takes `slot` with it.
+pub(crate) async fn relay(
+    host: &Rc<EntryHost>,
+    request: &ReadRequest,
+    slot: &mut Option<TransferSlot>,
+) -> Option<RelayOutcome> {
+    let mut tried = Vec::new();
+    let mut last = None;
+    while tried.len() < MAX_RELAYS {
+        let Some(address) = host.relays.choose(host.now(), &tried) else { break };
+        tried.push(address);
+        let outcome = relay_through(host, request, address, slot).await;
+        let RelayOutcome::Refused { reason, .. } = &outcome else { return Some(outcome) };
+        let may_other_reach = reason == PATH_LOST || reason == TARGET_UNREACHABLE;
+        if !may_other_reach {
+            return Some(outcome);
+        }
+        last = Some(outcome);
+    }
+    last
+}
+
+/// Outcome of sending a request through other entry hosts.
+pub(crate) enum RelayOutcome {
+    /// The relay's target has responded, or a target may have executed the request.
+    Ended(ForwardOutcome),
+    /// The request was not executed.
+    Refused { reason: String, retry_after: Duration },
+}
+
+impl RelayOutcome {
+    /// Returns the reply to the caller of a request that no relay has executed.
+    pub(crate) fn refusal(retry_after: Duration) -> LocalReply {
+        LocalReply::not_executed("relay_refused", retry_after)
+    }
+}
+
+async fn relay_through(
+    host: &Rc<EntryHost>,
+    request: &ReadRequest,
+    address: SocketAddr,
+    slot: &mut Option<TransferSlot>,
+) -> RelayOutcome {
+    let deadline = request.params.deadline;
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    if remaining.is_zero() {
+        return refused("too_late", MOVE_RETRY_AFTER);
+    }
+    let max_idle = match request.rule.repeat {
+        _ if request.metadata.request_id.is_none() => Duration::ZERO,
+        RepeatRule::Idempotent | RepeatRule::UntilFirstByte => Duration::MAX,
+        RepeatRule::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
+    };
+    let options = ExchangeOptions { deadline, max_idle, max_whole_bytes: MAX_WHOLE_BYTES };
+    let outgoing = build_request(request, remaining);
+    let end = host.relays.connections.exchange(address, outgoing, &options, || true).await;
+    match end {
+        ExchangeOutcome::Replied(TargetReply { head, body, elapsed }) => {
+            match read_reply(host, request, address, &head, elapsed) {
+                Ok(()) => RelayOutcome::Ended(build_response(head, ResponseBody::Whole(body))),
+                Err(outcome) => outcome,
+            }
+        }
+        ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed }) => {
+            match read_reply(host, request, address, &head, elapsed) {
+                Ok(()) => {
+                    let outcome = AttemptOutcome::Cancelled;
+                    let stream =
+                        ForwardedStream::new(host, request, None, stream, outcome, slot.take());
+                    let pieces = Box::new(stream);
+                    let body = ResponseBody::Streamed { len, pieces, deadline };
+                    RelayOutcome::Ended(build_response(head, body))
+                }
+                Err(outcome) => outcome,
+            }
+        }
+        ExchangeOutcome::NotSent(cause) => {
+            log_relay(request, address, "not_sent", &cause);
+            host.relays.pool.borrow_mut().avoid(host.now(), address);
+            refused(TARGET_UNREACHABLE, MOVE_RETRY_AFTER)
+        }
+        ExchangeOutcome::Broken { cause, .. } => {
+            log_relay(request, address, "broken", &cause);
+            unknown(StatusCode::BAD_GATEWAY, "relay_broke")
+        }
+        ExchangeOutcome::TimedOut => {
+            log_relay(request, address, "timed_out", "no answer until the deadline");
+            unknown(StatusCode::GATEWAY_TIMEOUT, "no_answer")
+        }
+    }
+}
+
+/// Checks whether a relay's reply is the response of a target to this request.
+fn read_reply(
+    host: &EntryHost,
+    request: &ReadRequest,
+    address: SocketAddr,
+    head: &response::Parts,
+    elapsed: Duration,
+) -> Result<(), RelayOutcome> {
+    if let Some(refusal) = RelayRefusal::read(&head.headers) {
+        log_relay(request, address, "refused", &refusal.reason);
+        if refusal.reason == PATH_LOST {
+            host.relays.pool.borrow_mut().avoid(host.now(), address);
+        }
+        return Err(match refusal.is_not_run {
+            true => refused(&refusal.reason, refusal.retry_after.unwrap_or(MOVE_RETRY_AFTER)),
+            false => unknown(head.status, "relay_unknown"),
+        });
+    }
+    let request_id = host.adapter.read_response_metadata(head).request_id;
+    if request.metadata.request_id.is_some() && request_id != request.metadata.request_id {
+        log_relay(request, address, "foreign_answer", head.status.as_str());
+        return Err(unknown(StatusCode::BAD_GATEWAY, "foreign_answer"));
+    }
+    log::info!(
+        "event=relayed id={} number={} route={} service={} relay={address} key={} status={} \
+         waited_ms={} ran_ms={}",
+        request.id(),
+        request.number,
+        request.rule.name,
+        request.params.service,
+        request.params.key.map_or(-1, i32::from),
+        head.status.as_u16(),
+        request.started.elapsed().saturating_sub(elapsed).as_millis(),
+        elapsed.as_millis(),
+    );
+    Ok(())
+}
+
+fn log_relay(request: &ReadRequest, address: SocketAddr, end: &str, cause: &str) {
+    log::info!(
+        "event=relay_failed id={} number={} route={} service={} relay={address} end={end} \
+         cause=\"{cause}\"",
+        request.id(),
+        request.number,
+        request.rule.name,
+        request.params.service,
+    );
+}
+
+fn refused(reason: &str, retry_after: Duration) -> RelayOutcome {
+    RelayOutcome::Refused { reason: reason.to_owned(), retry_after }
+}
+
+fn unknown(status: StatusCode, reason: &'static str) -> RelayOutcome {
+    RelayOutcome::Ended(ForwardOutcome::Unknown { status, reason, is_connection_fault: true })
+}
+
+fn build_request(request: &ReadRequest, remaining: Duration) -> Request<Full<Bytes>> {
+    let mut outgoing = copy_request(request);
+    RelayTimes { remaining, age: request.started.elapsed() }.write(outgoing.headers_mut());
+    outgoing
+}
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -22,7 +22,13 @@
 use crate::entry::entry_host::EntryHost;
 use crate::entry::local_reply::LocalReply;
 use crate::entry::read_request::ReadRequest;
+use crate::entry::read_request::RequestOrigin;
 use crate::entry::read_request::read_request;
+use crate::entry::relay_attempt::RelayOutcome;
+use crate::entry::relay_attempt::relay;
+use crate::entry::relay_headers::PATH_LOST;
+use crate::entry::relay_headers::RelayRefusal;
+use crate::entry::relay_headers::TARGET_UNREACHABLE;
 use crate::entry::target_attempt::ForwardOutcome;
 use crate::entry::target_attempt::attempt;
 use crate::entry::transfer_gate::TransferSlot;
@@ -46,17 +52,20 @@
     parser: ParserLimits { head_bytes: DEFAULT_HEAD_BYTES, body_bytes: 1024 * 1024 },
     idle_timeout: DEFAULT_IDLE_TIMEOUT,
 };
+/// Bytes that a relayed request's head may have beyond the limit for callers.
+const RELAY_HEAD_BYTES: usize = 1024;
 /// Wait for a newer state after a target reported that it does not hold the key.
 const MISDIRECTED_DELAY: Duration = Duration::from_millis(40);
 
-/// Handles the requests of callers on an entry host.
+/// Handles the requests of callers, or of other entry hosts, on an entry host.
 pub(crate) struct RequestHandler {
     host: Rc<EntryHost>,
+    origin: RequestOrigin,
 }
 
 impl RequestHandler {
-    pub(crate) fn new(host: Rc<EntryHost>) -> Self {
-        Self { host }
+    pub(crate) fn new(host: Rc<EntryHost>, origin: RequestOrigin) -> Self {
+        Self { host, origin }
     }
 }
 
@@ -64,13 +73,23 @@
     fn limits(&self) -> CallerLimits {
         let bytes = |limit: u64| usize::try_from(limit).unwrap_or(usize::MAX);
         let config = self.host.config();
-        config.map_or(DEFAULT_CALLER_LIMITS, |config| CallerLimits {
+        let limits = config.map_or(DEFAULT_CALLER_LIMITS, |config| CallerLimits {
             parser: ParserLimits {
                 head_bytes: bytes(config.limits.max_head_bytes),
                 body_bytes: bytes(config.limits.max_body_bytes),
             },
             idle_timeout: config.limits.idle_timeout.max(config.limits.head_timeout),
-        })
+        });
+        match self.origin {
+            RequestOrigin::Caller => limits,
+            RequestOrigin::EntryHost => CallerLimits {
+                parser: ParserLimits {
+                    head_bytes: limits.parser.head_bytes.saturating_add(RELAY_HEAD_BYTES),
+                    ..limits.parser
+                },
+                idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            },
+        }
     }
 
     fn is_stopping(&self) -> bool {
@@ -82,14 +101,14 @@
         request: Request<Bytes>,
         turn: RequestTurn,
     ) -> impl Future<Output = Response<ResponseBody>> + 'static {
-        handle_request(self.host.clone(), request, turn)
+        handle_request(self.host.clone(), request, self.origin, turn)
     }
 
     fn refuse(&self, error: ParseError) -> Response<ResponseBody> {
         let refusal = LocalReply::client_error(error.status(), error.reason());
         log_refusal(&self.host, self.host.next_number(), &refusal);
         self.host.metrics.count_request("none", refusal.reason, Duration::ZERO);
-        refusal.response()
+        refusal.response_to(self.origin)
     }
 
     fn count_pipelined(&self) {
@@ -97,15 +116,16 @@
     }
 }
 
-/// Handles one request of a caller, from reading it to the response.
+/// Handles one request, from reading it to the response.
 async fn handle_request(
     host: Rc<EntryHost>,
     request: Request<Bytes>,
+    origin: RequestOrigin,
     turn: RequestTurn,
 ) -> Response<ResponseBody> {
     let started = Instant::now();
     let number = host.next_number();
-    let (service, response, outcome) = match read_request(&host, request, started, number) {
+    let (service, response, outcome) = match read_request(&host, request, origin, started, number) {
         Ok(read) => {
             if read.rule.repeat == RepeatRule::AtMostOnce {
                 turn.wait().await;
@@ -116,7 +136,7 @@
         }
         Err(refusal) => {
             log_refusal(&host, number, &refusal);
-            ("none".to_owned(), refusal.response(), refusal.reason)
+            ("none".to_owned(), refusal.response_to(origin), refusal.reason)
         }
     };
     host.metrics.count_request(&service, outcome, started.elapsed());
@@ -139,7 +159,14 @@
     request: &ReadRequest,
 ) -> (Response<ResponseBody>, &'static str) {
     let params = &request.params;
-    host.record_request(&params.service, params.key);
+    let is_relayed = request.origin == RequestOrigin::EntryHost;
+    if is_relayed && host.connections.path().is_lost() {
+        return refuse(host, request, LocalReply::not_executed(PATH_LOST, REFUSAL_RETRY_AFTER));
+    }
+    if !is_relayed {
+        // The host that received the request from the caller counts it.
+        host.record_request(&params.service, params.key);
+    }
     if !is_within_holder_share(host, params) {
         return refuse(
             host,
@@ -153,6 +180,9 @@
     };
     let mut tried: Vec<TargetName> = Vec::new();
     let (mut reached, mut unsent) = (0, 0);
+    let mut may_relay = !is_relayed;
+    // Whether a connection to the last target could not be established.
+    let mut is_unreachable = false;
     // The reply if no further attempt is made.
     let mut last = None;
     loop {
@@ -164,8 +194,32 @@
             let refusal = LocalReply::not_executed("crashes_targets", QUARANTINE_RETRY_AFTER);
             return refuse(host, request, last.unwrap_or(refusal));
         }
+        if may_relay && (is_unreachable || host.lacks_path(params)) {
+            may_relay = false;
+            if reached > 0 && !host.try_retry(&params.service) {
+                let refusal = LocalReply::not_executed("retry_budget", REFUSAL_RETRY_AFTER);
+                return refuse(host, request, last.unwrap_or(refusal));
+            }
+            match relay(host, request, &mut slot).await {
+                Some(RelayOutcome::Ended(ForwardOutcome::Response(response))) => {
+                    return (*response, "relayed");
+                }
+                Some(RelayOutcome::Ended(ForwardOutcome::Unknown { status, reason, .. })) => {
+                    return refuse(host, request, LocalReply::outcome_unknown(status, reason));
+                }
+                Some(RelayOutcome::Refused { reason, retry_after }) => {
+                    if reason == TARGET_UNREACHABLE {
+                        host.record_unreachable_everywhere(params);
+                    }
+                    let refusal = RelayOutcome::refusal(retry_after);
+                    return refuse(host, request, last.unwrap_or(refusal));
+                }
+                Some(RelayOutcome::Ended(ForwardOutcome::NotExecuted { .. })) | None => {}
+            }
+        }
         let permit = match admit(host, params, &tried).await {
             Ok(permit) => permit,
+            Err(_) if may_relay && host.lacks_path(params) => continue,
             Err(refusal) => return refuse(host, request, last.unwrap_or(refusal)),
         };
         if reached > 0 && !host.try_retry(&params.service) {
@@ -178,10 +232,16 @@
         let may_try_again =
             matches!(outcome, ForwardOutcome::Unknown { is_connection_fault: true, .. });
         match outcome {
-            ForwardOutcome::Response(response) => return (*response, "answered"),
+            ForwardOutcome::Response(mut response) => {
+                if is_relayed {
+                    RelayRefusal::remove(response.headers_mut());
+                }
+                return (*response, "answered");
+            }
             ForwardOutcome::NotExecuted { reason, reached: was_reached, .. } => {
                 reached += u32::from(was_reached);
                 unsent += u32::from(!was_reached);
+                is_unreachable = reason == TARGET_UNREACHABLE;
                 // If an earlier attempt of an idempotent request may have been executed, the reply
                 // must keep saying so.
                 let was_unknown = last.as_ref().is_some_and(|last: &LocalReply| {
@@ -201,6 +261,7 @@
         }
         let is_exhausted = reached >= request.rule.max_attempts.max(1)
             || unsent >= MAX_UNSENT_ATTEMPTS
+            || (is_relayed && is_unreachable && params.key.is_some())
             || Instant::now() >= params.deadline;
         if let Some(last) = last.filter(|_| is_exhausted) {
             return refuse(host, request, last);
@@ -269,7 +330,7 @@
         host.queue.borrow().len(),
         host.applied(),
     );
-    (reply.response(), reply.reason)
+    (reply.response_to(request.origin), reply.reason)
 }
 
 /// Log fields that describe what this host knows about the holder of the request's key.
--- a/crates/gw-gateway/src/entry/run_entry.rs
+++ b/crates/gw-gateway/src/entry/run_entry.rs
@@ -17,6 +17,7 @@
 use crate::entry::control_links::ControlLinks;
 use crate::entry::entry_host::EntryHost;
 use crate::entry::path_probe::watch_path;
+use crate::entry::read_request::RequestOrigin;
 use crate::entry::request_handler::RequestHandler;
 use crate::http_server::ConnectionCount;
 use crate::http_server::serve;
@@ -45,6 +46,8 @@
     callers: SocketAddr,
 ) -> Result<(), RunError> {
     let callers = bind("callers", callers).await?;
+    let relays = SocketAddr::new(settings.address, settings.peer_port);
+    let relays = bind("relays", relays).await?;
     let readiness = match settings.readiness_address {
         Some(address) => Some(bind("readiness", address).await?),
         None => None,
@@ -65,8 +68,11 @@
         *shared.settings.borrow_mut() = settings;
     }));
     let count = ConnectionCount::default();
-    let handler = Rc::new(RequestHandler::new(host.clone()));
-    spawn_local(serve_callers(callers, count.clone(), host.closing.subscribe(), handler));
+    for (listener, origin) in [(callers, RequestOrigin::Caller), (relays, RequestOrigin::EntryHost)]
+    {
+        let handler = Rc::new(RequestHandler::new(host.clone(), origin));
+        spawn_local(serve_callers(listener, count.clone(), host.closing.subscribe(), handler));
+    }
     shutdown_signal().await?;
     host.is_stopping.set(true);
     let end = tokio::time::Instant::now() + grace_time.saturating_sub(SHUTDOWN_MARGIN);
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -25,6 +25,9 @@
 use crate::entry::entry_host::EntryHost;
 use crate::entry::forwarded_stream::ForwardedStream;
 use crate::entry::read_request::ReadRequest;
+use crate::entry::read_request::RequestOrigin;
+use crate::entry::relay_headers::PATH_LOST;
+use crate::entry::relay_headers::TARGET_UNREACHABLE;
 use crate::entry::transfer_gate::TransferSlot;
 use crate::ports::AttemptMetadata;
 use crate::targets::ExchangeOptions;
@@ -35,11 +38,11 @@
 /// Longest idle time of a pooled connection that may carry an at-most-once request. A connection
 /// that was idle for longer may have become unresponsive, and the outcome of a request written to
 /// it would be unknown.
-const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_secs(1);
+pub(crate) const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_secs(1);
 
 /// Largest response, in bytes, that is read completely before it is forwarded: until then a failure
 /// can be repaired by another attempt. A larger one is forwarded as it arrives.
-const MAX_WHOLE_BYTES: usize = 128 * 1024;
+pub(crate) const MAX_WHOLE_BYTES: usize = 128 * 1024;
 /// The same for routes with large responses, which are forwarded at a limited rate.
 const MAX_WHOLE_DOWNLOAD_BYTES: usize = 16 * 1024;
 
@@ -98,7 +101,20 @@
         RepeatRule::Idempotent | RepeatRule::AtMostOnce => MAX_WHOLE_BYTES,
     };
     let options = ExchangeOptions { deadline: until, max_idle, max_whole_bytes };
-    let end = host.connections.exchange(address, outgoing, &options, || true).await;
+    let is_repeatable = request.rule.repeat != RepeatRule::AtMostOnce;
+    let end = tokio::select! {
+        biased;
+        end = host.connections.exchange(address, outgoing, &options, || true) => end,
+        () = host.path_loss(), if is_repeatable && request.origin == RequestOrigin::Caller => {
+            drop(in_flight);
+            permit.finish(AttemptOutcome::Unanswered);
+            return ForwardOutcome::Unknown {
+                status: StatusCode::BAD_GATEWAY,
+                reason: PATH_LOST,
+                is_connection_fault: true,
+            };
+        }
+    };
     let concurrent = in_flight.finish();
     log::debug!(
         "event=exchange id={} target={} address={address} end={end:?}",
@@ -119,8 +135,14 @@
             match classify_reply(host, request, permit, &head, len, elapsed) {
                 Ok(permit) => {
                     let outcome = answered(&head, elapsed);
-                    let stream =
-                        ForwardedStream::new(host, request, permit, stream, outcome, slot.take());
+                    let stream = ForwardedStream::new(
+                        host,
+                        request,
+                        Some(permit),
+                        stream,
+                        outcome,
+                        slot.take(),
+                    );
                     let pieces = Box::new(stream);
                     let body = ResponseBody::Streamed { len, pieces, deadline: until };
                     build_response(head, body)
@@ -131,8 +153,9 @@
         ExchangeOutcome::NotSent(cause) => {
             log_failure(request, &permit, "not_sent", &cause);
             permit.finish(AttemptOutcome::Unreachable);
+            host.update_path();
             ForwardOutcome::NotExecuted {
-                reason: "target_unreachable",
+                reason: TARGET_UNREACHABLE,
                 reached: false,
                 misdirected: false,
             }
@@ -182,6 +205,15 @@
     target: &TargetName,
     remaining: Duration,
 ) -> Request<Full<Bytes>> {
+    let mut outgoing = copy_request(request);
+    let metadata = AttemptMetadata { target: target.clone(), remaining };
+    host.adapter.write_attempt_metadata(outgoing.headers_mut(), &metadata);
+    outgoing
+}
+
+/// Returns a request to another server, with the caller's headers that are not about one
+/// connection.
+pub(crate) fn copy_request(request: &ReadRequest) -> Request<Full<Bytes>> {
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.head.method.clone();
     *outgoing.uri_mut() = origin_form(&request.head.uri);
@@ -192,8 +224,6 @@
     if !request.body.is_empty() || headers.contains_key(header::CONTENT_LENGTH) {
         headers.insert(header::CONTENT_LENGTH, HeaderValue::from(request.body.len()));
     }
-    let metadata = AttemptMetadata { target: target.clone(), remaining };
-    host.adapter.write_attempt_metadata(headers, &metadata);
     outgoing
 }
 
@@ -306,7 +336,7 @@
     Ok(permit)
 }
 
-fn build_response(head: response::Parts, body: ResponseBody) -> ForwardOutcome {
+pub(crate) fn build_response(head: response::Parts, body: ResponseBody) -> ForwardOutcome {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -125,6 +125,17 @@
     pub(crate) crashes: Vec<QuarantineEntry>,
     /// Limits that targets have named; empty unless the receiver is the leader.
     pub(crate) limits: Vec<LimitReport>,
+    /// Whether the host can forward requests of others to targets.
+    pub(crate) takes_relays: bool,
+}
+
+/// An entry host that forwards requests for others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RelayReport {
+    /// Where it accepts requests of other entry hosts.
+    pub(crate) address: SocketAddr,
+    /// Whether it is in the receiver's availability zone.
+    pub(crate) is_same_zone: bool,
 }
 
 /// Information for entry hosts beyond the replicated state. Sent only when it has changed.
@@ -140,6 +151,9 @@
     pub(crate) control_zones: Vec<(SocketAddr, ZoneName)>,
     /// Address of the leader that the control host follows, or its own.
     pub(crate) leader: Option<SocketAddr>,
+    /// From the leader: entry hosts that forward requests for the receiver while it cannot reach
+    /// targets itself.
+    pub(crate) relays: Vec<RelayReport>,
 }
 
 /// Fraction of the requests for an overloaded holder's keys that entry hosts may send to it.
@@ -175,7 +189,13 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum LinkMessage {
     /// First message of either side.
-    Hello { host: HostName, zone: ZoneName, kind: HostKind },
+    Hello {
+        host: HostName,
+        zone: ZoneName,
+        kind: HostKind,
+        /// Where the host accepts requests of other entry hosts; `None` on control hosts.
+        relay: Option<SocketAddr>,
+    },
     /// Keep-alive probe.
     Ping,
     /// Reply to [`LinkMessage::Ping`].
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) use link_message::HostKind;
 pub(crate) use link_message::LimitReport;
 pub(crate) use link_message::LinkMessage;
+pub(crate) use link_message::RelayReport;
 pub(crate) use link_message::RunReport;
 pub(crate) use link_message::ServiceHeat;
 pub(crate) use link_message::ShareReport;
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -254,6 +254,11 @@
         Ok(ExchangeOutcome::Replied(TargetReply { head, body: received, elapsed }))
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn close_all_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes the idle connections to `address`. Called after a response that belonged to another
     /// request.
     pub(crate) fn close_idle(&self, address: SocketAddr) {
