fix(gw-gateway): orders are relayed by entry hosts that reach targets first

What callers saw: requests for keys of targets that the leader cannot reach were refused while the entry hosts of the targets' zone had lost their path as well.

The leader sent an order through the zone's hosts only, which could not deliver it. Hosts already report whether they reach targets; those that do now come first.

--- a/crates/gw-gateway/src/control/order_delivery.rs
+++ b/crates/gw-gateway/src/control/order_delivery.rs
@@ -156,12 +156,12 @@
     outcome
 }
 
-/// Returns the entry hosts that may relay an order, those of the target's zone first, each with the
-/// latest time on its clock at which it may send the order.
+/// Returns the entry hosts that may relay an order, those that can reach targets first, then those of
+/// the target's zone, each with the latest time on its clock at which it may send the order.
 fn relay_candidates(host: &ControlHost, zone: &ZoneName) -> Vec<(LinkHandle, u64)> {
     let now = host.now();
     let links = host.links.borrow();
-    let mut found: Vec<(bool, LinkHandle, u64)> = links
+    let mut found: Vec<((bool, bool), LinkHandle, u64)> = links
         .iter()
         .filter(|link| link.is_entry())
         .filter_map(|link| {
@@ -171,12 +171,11 @@
             // The window starts when the entry host read its clock, not when the report arrived, so
             // network delay shortens it and never extends it.
             debug_assert!(reported_at <= now);
-            Some((is_other_zone, link.link.clone(), clock + RELAY_WINDOW.as_nanos() as u64))
+            let rank = (!link.takes_relays, is_other_zone);
+            Some((rank, link.link.clone(), clock + RELAY_WINDOW.as_nanos() as u64))
         })
         .collect();
-    found.sort_by_key(|(is_other_zone, _, send_before)| {
-        (*is_other_zone, std::cmp::Reverse(*send_before))
-    });
+    found.sort_by_key(|(rank, _, send_before)| (*rank, std::cmp::Reverse(*send_before)));
     found.into_iter().map(|(_, link, send_before)| (link, send_before)).collect()
 }
 
