fix(gw-balance, gw-gateway): a lost path is confirmed by probes, and open connections stay in use

In a cut of one zone, connections to three of its targets fail in a row on hosts whose own path is intact, since requests to other targets use open connections. They counted as without a path, closed their connections and were avoided as relays. Failures now only raise doubts; the targets that responded last, one of each zone first, decide. While no relay works either, requests are refused at once as not run instead of cut at their start as unknown. Where open connections live on, a host without a path closed them and gave all its requests to the others: with nine tenths of the hosts affected, to one. Open connections are now used as long as targets respond over them; new ones are only probed.

--- a/crates/gw-balance/src/path_monitor.rs
+++ b/crates/gw-balance/src/path_monitor.rs
@@ -4,8 +4,8 @@
 use gw_types::Timestamp;
 
 /// Number of targets to which no connection could be opened, one after the other, from which the
-/// path counts as lost. Fewer may have ended by themselves.
-const LOST_TARGETS: usize = 3;
+/// path is probed. Fewer may have ended by themselves.
+const SUSPECT_TARGETS: usize = 3;
 /// Age from which a failed connection no longer counts.
 const MAX_FAILURE_AGE: Duration = Duration::from_secs(3);
 /// Time without any response, while requests are in flight, after which the path is probed.
@@ -13,9 +13,10 @@
 
 /// Tells whether a host has lost its path to targets, from the outcomes of its own exchanges.
 ///
-/// A target that fails alone says nothing about the host. The path counts as lost when connections
-/// to several targets failed and none succeeded meanwhile. A response over an open connection does
-/// not show that the path is intact: a network may carry on open connections and refuse new ones.
+/// A target that fails alone says nothing about the host, and several may be out of reach with their
+/// zone. Failures therefore only raise doubts, and the path counts as lost when probes of targets
+/// that have responded last fail too. A response over an open connection does not show that the
+/// path is intact: a network may carry on open connections and refuse new ones.
 #[derive(Clone, Debug, Default)]
 pub struct PathMonitor {
     /// Addresses to which connections failed since one last succeeded, sorted, with the time of the
@@ -44,12 +45,15 @@
 
     /// Records that no connection to `address` could be opened.
     pub fn record_unreachable(&mut self, now: Timestamp, address: SocketAddr) {
-        self.failures.retain(|(_, failed_at)| now.since(*failed_at) < MAX_FAILURE_AGE);
         match self.failures.binary_search_by(|(known, _)| known.cmp(&address)) {
             Ok(index) => self.failures[index].1 = now,
             Err(position) => self.failures.insert(position, (address, now)),
         }
-        self.is_lost |= self.failures.len() >= LOST_TARGETS;
+    }
+
+    /// Records that no connection to any of the targets that were probed could be opened.
+    pub fn record_probe_failed(&mut self) {
+        self.is_lost = true;
     }
 
     /// Whether the path to targets counts as lost.
@@ -57,10 +61,15 @@
         self.is_lost
     }
 
+    /// Whether requests are in flight and no target responds, so that open connections do not work
+    /// either.
+    pub fn is_silent(&self, now: Timestamp) -> bool {
+        self.unanswered_since.is_some_and(|since| now.since(since) > SILENCE_TIMEOUT)
+    }
+
     /// Whether connections should be opened to find out if the path is intact.
-    pub fn needs_probe(&self, now: Timestamp) -> bool {
-        let is_silent =
-            self.unanswered_since.is_some_and(|since| now.since(since) > SILENCE_TIMEOUT);
-        self.is_lost || is_silent
+    pub fn needs_probe(&mut self, now: Timestamp) -> bool {
+        self.failures.retain(|(_, failed_at)| now.since(*failed_at) < MAX_FAILURE_AGE);
+        self.is_lost || self.is_silent(now) || self.failures.len() >= SUSPECT_TARGETS
     }
 }
--- a/crates/gw-balance/src/relay_table.rs
+++ b/crates/gw-balance/src/relay_table.rs
@@ -4,8 +4,10 @@
 use gw_types::KeyHash;
 use gw_types::ZoneName;
 
-/// Largest number of relays that a host is given in its own availability zone, and in others.
-const RELAYS_PER_GROUP: usize = 3;
+/// Largest number of relays that a host is given in its own availability zone.
+const OWN_ZONE_RELAYS: usize = 3;
+/// Largest number of relays that a host is given in other zones, one of which may be cut off.
+const OTHER_ZONE_RELAYS: usize = 6;
 
 /// An entry host that can forward requests of other entry hosts to targets.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -46,15 +48,16 @@
             self.hosts[..start].iter().chain(&self.hosts[end..]).collect();
         let next = own.partition_point(|relay| relay.host < *host);
         let hash = KeyHash::of(host.as_str().as_bytes()).0 as usize;
-        let mut chosen = pick(&own, next, 1);
-        // Steps of a third of the list reach several zones.
-        chosen.extend(pick(&others, hash, (others.len() / RELAYS_PER_GROUP).max(1)));
+        let mut chosen = pick(&own, next, 1, OWN_ZONE_RELAYS);
+        // Wide steps through the list reach several zones.
+        let step = (others.len() / OTHER_ZONE_RELAYS).max(1);
+        chosen.extend(pick(&others, hash, step, OTHER_ZONE_RELAYS));
         chosen
     }
 }
 
-fn pick(hosts: &[&RelayHost], first: usize, step: usize) -> Vec<RelayHost> {
-    let count = hosts.len().min(RELAYS_PER_GROUP);
+fn pick(hosts: &[&RelayHost], first: usize, step: usize, most: usize) -> Vec<RelayHost> {
+    let count = hosts.len().min(most);
     (0..count)
         .map(|turn| hosts[(first % hosts.len() + turn * step) % hosts.len()].clone())
         .collect()
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -148,9 +148,33 @@
         &self.targets
     }
 
-    /// Returns the targets that accept new requests, including targets that are paused.
-    pub fn serving(&self) -> impl Iterator<Item = &TargetView> {
-        self.targets.iter().filter(|target| target.is_serving())
+    /// Returns the number of targets that accept new requests, including targets that are paused.
+    pub fn serving_count(&self) -> usize {
+        self.targets.iter().filter(|target| target.is_serving()).count()
+    }
+
+    /// Returns up to `count` targets that show whether this host can reach any: in each zone the one
+    /// that responded last, those of the zones that responded last first.
+    pub fn probe_targets(&self, count: usize) -> Vec<&TargetView> {
+        let mut serving: Vec<&TargetView> =
+            self.targets.iter().filter(|target| target.is_serving()).collect();
+        serving.sort_by_key(|target| std::cmp::Reverse(target.responded_at));
+        let mut chosen: Vec<&TargetView> = Vec::new();
+        for target in &serving {
+            if chosen.iter().all(|known| known.record.zone != target.record.zone) {
+                chosen.push(target);
+            }
+        }
+        for target in serving {
+            if chosen.iter().all(|known| known.record.name != target.record.name) {
+                chosen.push(target);
+            }
+            if chosen.len() >= count {
+                break;
+            }
+        }
+        chosen.truncate(count);
+        chosen
     }
 
     fn group(&self, service: &ServiceName) -> Option<&ServiceTargets> {
@@ -158,7 +182,8 @@
         found.ok().map(|index| &self.services[index])
     }
 
-    fn targets_of(&self, service: &ServiceName) -> impl Iterator<Item = &TargetView> {
+    /// Returns all targets of a service.
+    pub fn targets_of(&self, service: &ServiceName) -> impl Iterator<Item = &TargetView> {
         let positions = self.group(service).map_or(&[][..], |group| &group.positions);
         positions.iter().map(|position| &self.targets[*position])
     }
@@ -189,12 +214,24 @@
         now: Timestamp,
         service: &ServiceName,
         tried: &[TargetName],
+    ) -> Option<&TargetView> {
+        self.pick_among(now, service, tried, |_| true)
+    }
+
+    /// The same as [`TargetPool::pick`] among the targets for which `is_usable` holds.
+    pub fn pick_among(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        tried: &[TargetName],
+        is_usable: impl Fn(&TargetView) -> bool,
     ) -> Option<&TargetView> {
         let typical = self.typical_response_time(now, service);
         let available = self.targets_of(service).filter(|target| {
             target.is_available(now)
                 && target.in_flight < self.in_flight_limit(target)
                 && !tried.contains(&target.record.name)
+                && is_usable(target)
         });
         let cost = |target: &TargetView| target.cost(now, typical, OTHER_ZONE_PENALTY_SECONDS);
         let ranked = available.map(|target| (cost(target), target));
--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -56,6 +56,8 @@
     /// Whether another target responded at its address, so that this run has ended.
     has_ended: bool,
     last_outcome_at: Timestamp,
+    /// When the target last responded to this host.
+    pub(crate) responded_at: Timestamp,
     /// Number of successful requests since the last call of `take_answered`.
     unreported_count: u32,
     /// Sum of their response times; see [`AnsweredRequests::total`].
@@ -80,6 +82,7 @@
             pacer: None,
             has_ended: false,
             last_outcome_at: now,
+            responded_at: Timestamp::ZERO,
             unreported_count: 0,
             unreported_total: Duration::ZERO,
         }
@@ -199,6 +202,7 @@
                 return;
             }
             AttemptOutcome::Answered { elapsed, is_failure } => {
+                self.responded_at = now;
                 if !is_failure {
                     self.add_unreported(elapsed);
                 }
--- a/crates/gw-balance/tests/target_pool.rs
+++ b/crates/gw-balance/tests/target_pool.rs
@@ -189,3 +189,44 @@
     let max_sent = sent.iter().copied().max().unwrap_or_default();
     assert!(max_sent <= TARGET_CAPACITY, "{max_sent} requests at one target: {sent:?}");
 }
+
+struct ProbeCase {
+    name: &'static str,
+    /// Names of targets, `zone-number`, and when they responded after `NOW`, in milliseconds.
+    responses: &'static [(&'static str, u64)],
+    expected: &'static [&'static str],
+}
+
+/// Guards against a host that takes a cut of one zone for the loss of all targets, because it
+/// probes only targets of that zone.
+#[test]
+fn probes_go_to_the_targets_of_each_zone_that_responded_last() {
+    let cases = [
+        ProbeCase {
+            name: "one zone no longer responds",
+            responses: &[("b-1", 10), ("b-2", 20), ("a-1", 500), ("a-2", 400), ("c-1", 450)],
+            expected: &["a-1", "c-1", "b-2"],
+        },
+        ProbeCase {
+            name: "fewer zones than probes",
+            responses: &[("a-1", 10), ("a-2", 30), ("a-3", 20)],
+            expected: &["a-2", "a-3", "a-1"],
+        },
+        ProbeCase { name: "one target", responses: &[("a-1", 10)], expected: &["a-1"] },
+        ProbeCase { name: "no target", responses: &[], expected: &[] },
+    ];
+    for case in cases {
+        let mut records: Vec<TargetRecord> =
+            case.responses.iter().map(|(name, _)| record(name, &name[..1])).collect();
+        records.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut pool = pool("h1", &["h1"], &records);
+        for (name, millis) in case.responses {
+            let holder = record(name, "a").holder();
+            pool.record_start(NOW, &holder);
+            pool.record_end(NOW + Duration::from_millis(*millis), &holder, answered(5));
+        }
+        let probed = pool.probe_targets(3);
+        let names: Vec<&str> = probed.iter().map(|target| target.record.name.as_str()).collect();
+        assert_eq!(names, case.expected, "{}", case.name);
+    }
+}
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -177,7 +177,10 @@
 ) -> Option<(RangeHolder, SocketAddr)> {
     let pool = host.pool.borrow();
     let Some(key) = key else {
-        let target = pool.pick(now, service, tried)?;
+        let is_path_lost = host.connections.path().is_lost();
+        let target = pool.pick_among(now, service, tried, |target| {
+            !is_path_lost || host.connections.has_idle(target.record.address)
+        })?;
         return Some((target.record.holder(), target.record.address));
     };
     let state = host.state();
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -87,7 +87,9 @@
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<SendPermit>>>,
     pub(crate) connections: TargetConnections,
     /// Whether this host has lost its path to targets.
-    is_path_lost: watch::Sender<bool>,
+    is_path_lost: Cell<bool>,
+    /// Whether open connections to targets do not work either.
+    is_path_silent: watch::Sender<bool>,
     /// Entry hosts that forward requests while this host cannot reach targets.
     pub(crate) relays: RelayHosts,
     /// Keeps large responses from filling the link.
@@ -139,7 +141,8 @@
             sharing_hosts: Cell::default(),
             waiters: RefCell::default(),
             connections: TargetConnections::new(dialer.clone()),
-            is_path_lost: watch::Sender::new(false),
+            is_path_lost: Cell::new(false),
+            is_path_silent: watch::Sender::new(false),
             relays: RelayHosts::new(dialer),
             transfers,
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
@@ -183,13 +186,17 @@
     /// Whether this host cannot reach the targets that a request may be sent to, so that it has to
     /// go through another host.
     pub(crate) fn lacks_path(&self, params: &AdmissionParams) -> bool {
-        if self.connections.path().is_lost() {
-            return true;
-        }
+        let is_lost = self.connections.path().is_lost();
         let (now, pool) = (self.now(), self.pool.borrow());
         match self.holder(params) {
+            Some(holder) if is_lost => pool
+                .target(&holder.target)
+                .is_none_or(|target| !self.connections.has_idle(target.record.address)),
             Some(holder) => pool.is_holder_unreachable(now, &holder),
-            None if params.key.is_some() => false,
+            None if params.key.is_some() => is_lost,
+            None if is_lost => !pool
+                .targets_of(&params.service)
+                .any(|target| self.connections.has_idle(target.record.address)),
             None => pool.is_service_unreachable(now, &params.service),
         }
     }
@@ -207,25 +214,33 @@
         state.table(&params.service)?.find(params.key?).holder.clone()
     }
 
-    /// Waits until this host has lost its path to targets.
-    pub(crate) async fn path_loss(&self) {
-        let mut path = self.is_path_lost.subscribe();
+    /// Waits until this host has lost its path to targets, and open connections do not work either.
+    pub(crate) async fn path_silence(&self) {
+        let mut silence = self.is_path_silent.subscribe();
         // The sender is part of this host.
-        path.wait_for(|is_lost| *is_lost).await.ok();
+        silence.wait_for(|is_silent| *is_silent).await.ok();
     }
 
     /// Acts on a change of this host's path to targets.
     pub(crate) fn update_path(&self) {
-        let is_lost = self.connections.path().is_lost();
-        if self.is_path_lost.send_replace(is_lost) == is_lost {
+        let path = self.connections.path().clone();
+        let is_lost = path.is_lost();
+        let is_silent = is_lost && path.is_silent(self.now());
+        self.is_path_silent.send_replace(is_silent);
+        if is_silent {
+            self.connections.close_all_idle();
+        }
+        if self.is_path_lost.replace(is_lost) == is_lost {
             return;
         }
         self.metrics.is_path_lost.set(i64::from(is_lost));
         let event = if is_lost { "target_path_lost" } else { "target_path_restored" };
-        let known = self.pool.borrow().serving().count();
-        log::info!("event={event} targets={known} waiting={}", self.queue.borrow().len());
+        let known = self.pool.borrow().serving_count();
+        log::info!(
+            "event={event} targets={known} waiting={} silent={is_silent}",
+            self.queue.borrow().len(),
+        );
         if is_lost {
-            self.connections.close_all_idle();
             // Queued requests stop waiting for targets and are sent through relays.
             self.waiters.borrow_mut().clear();
         } else {
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -214,12 +214,20 @@
                     let refusal = RelayOutcome::refusal(retry_after);
                     return refuse(host, request, last.unwrap_or(refusal));
                 }
-                Some(RelayOutcome::Ended(ForwardOutcome::NotExecuted { .. })) | None => {}
+                Some(RelayOutcome::Ended(ForwardOutcome::NotExecuted { .. })) | None => {
+                    if host.connections.path().is_lost() {
+                        let refusal = LocalReply::not_executed(PATH_LOST, REFUSAL_RETRY_AFTER);
+                        return refuse(host, request, last.unwrap_or(refusal));
+                    }
+                }
             }
         }
         let permit = match admit(host, params, &tried).await {
             Ok(permit) => permit,
-            Err(_) if may_relay && host.lacks_path(params) => continue,
+            Err(_) if may_relay && host.connections.path().is_lost() => {
+                is_unreachable = true;
+                continue;
+            }
             Err(refusal) => return refuse(host, request, last.unwrap_or(refusal)),
         };
         if reached > 0 && !host.try_retry(&params.service) {
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -105,7 +105,7 @@
     let end = tokio::select! {
         biased;
         end = host.connections.exchange(address, outgoing, &options, || true) => end,
-        () = host.path_loss(), if is_repeatable && request.origin == RequestOrigin::Caller => {
+        () = host.path_silence(), if is_repeatable && request.origin == RequestOrigin::Caller => {
             drop(in_flight);
             permit.finish(AttemptOutcome::Unanswered);
             return ForwardOutcome::Unknown {
@@ -152,8 +152,12 @@
         }
         ExchangeOutcome::NotSent(cause) => {
             log_failure(request, &permit, "not_sent", &cause);
-            permit.finish(AttemptOutcome::Unreachable);
-            host.update_path();
+            // While the path is lost, a failure says nothing about the target.
+            let is_path_lost = host.connections.path().is_lost();
+            permit.finish(match is_path_lost {
+                true => AttemptOutcome::Cancelled,
+                false => AttemptOutcome::Unreachable,
+            });
             ForwardOutcome::NotExecuted {
                 reason: TARGET_UNREACHABLE,
                 reached: false,
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -1,6 +1,6 @@
 use std::cell::Cell;
-use std::cell::Ref;
 use std::cell::RefCell;
+use std::cell::RefMut;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -80,8 +80,8 @@
     }
 
     /// Returns what the exchanges say about this host's path to targets.
-    pub(crate) fn path(&self) -> Ref<'_, PathMonitor> {
-        self.path.borrow()
+    pub(crate) fn path(&self) -> RefMut<'_, PathMonitor> {
+        self.path.borrow_mut()
     }
 
     /// Whether a connection to `address` can be opened. The connection is kept for requests.
@@ -170,6 +170,10 @@
             let is_pooled = pooled.is_some();
             let mut connection = match pooled {
                 Some(connection) => connection,
+                // Only probes open connections while the path is lost.
+                None if self.path.borrow().is_lost() => {
+                    return ExchangeOutcome::NotSent("no open connection".to_owned());
+                }
                 None => match self.connect(address, deadline).await {
                     Ok(connection) => connection,
                     Err(cause) => return ExchangeOutcome::NotSent(cause),
@@ -254,6 +258,16 @@
         Ok(ExchangeOutcome::Replied(TargetReply { head, body: received, elapsed }))
     }
 
+    /// Whether a connection to `address` is open and idle.
+    pub(crate) fn has_idle(&self, address: SocketAddr) -> bool {
+        let now = Instant::now();
+        self.idle.borrow().iter().any(|pooled| {
+            pooled.address == address
+                && pooled.usable_until > now
+                && !pooled.connection.sender.is_closed()
+        })
+    }
+
     /// Closes all idle connections.
     pub(crate) fn close_all_idle(&self) {
         self.idle.borrow_mut().clear();
