--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -203,6 +203,17 @@
     );
 }
 
+/// Logs what a target has said about itself in its answer to a request.
+fn log_statement(request: &ReadRequest, permit: &SendPermit, event: &str, details: &str) {
+    log::info!(
+        "event={event} id={} number={} service={} target={} {details}",
+        request.id(),
+        request.number,
+        request.params.service,
+        permit.holder,
+    );
+}
+
 fn build_request(
     host: &EntryHost,
     request: &ReadRequest,
@@ -294,6 +305,12 @@
             stated_at: host.now(),
         });
     }
+    if is_id_echoed && let Some(rest) = metadata.rest {
+        log_statement(request, &permit, "target_rest", &format!("ms={}", rest.as_millis()));
+    }
+    if is_id_echoed && metadata.is_leaving {
+        log_statement(request, &permit, "target_leaving", "source=answer");
+    }
     if metadata.is_refusal && (metadata.request_id.is_none() || is_id_echoed) {
         log_failure(request, &permit, "refused", status.as_str());
         let is_other_target =
--- a/crates/gw-gateway/src/ports/response_metadata.rs
+++ b/crates/gw-gateway/src/ports/response_metadata.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use gw_types::TargetName;
 use http::HeaderValue;
 
@@ -16,4 +18,8 @@
     /// Requests per second that the target takes from all entry hosts together, for as long as its
     /// responses say so. At least 0; `None` if it takes all.
     pub rate_limit: Option<f64>,
+    /// How long the target wants no further request from this host.
+    pub rest: Option<Duration>,
+    /// Whether the target says that it leaves, so that it gets no new work.
+    pub is_leaving: bool,
 }
