fix(gw-balance, gw-ranges, gw-gateway): targets get the rest that they ask for

Nothing read Retry-After of an answer; a refusal paused its target for 40 ms.

Change: a host sends a resting target nothing, and refuses or redirects at once. The leader plans the keys of such a target by the fraction of requests that it takes.

--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -52,7 +52,7 @@
     Busy,
     /// It is paused after failures or a refusal.
     Paused,
-    /// The limit on the rate of requests that it has named allows none now.
+    /// It has asked for rest, or the limit on the rate of requests that it has named allows none now.
     Limited,
     /// This run of the target is not known, has ended, or has been draining for too long.
     Unknown,
@@ -342,9 +342,16 @@
         }
     }
 
-    /// Returns the successful requests since the last call, one entry per target.
-    pub fn take_answered(&mut self) -> Vec<AnsweredRequests> {
-        self.targets.iter_mut().filter_map(TargetView::take_answered).collect()
+    /// Records that a target wants no request from this host for some time. Returns whether it did
+    /// not rest before.
+    pub fn record_rest(&mut self, now: Timestamp, holder: &RangeHolder, rest: Duration) -> bool {
+        self.target_mut(holder).is_some_and(|target| target.record_rest(now, rest))
+    }
+
+    /// Returns the requests that were answered or turned away since the last call, one entry per
+    /// target.
+    pub fn take_answered(&mut self, now: Timestamp) -> Vec<AnsweredRequests> {
+        self.targets.iter_mut().filter_map(|target| target.take_answered(now)).collect()
     }
 
     fn target_mut(&mut self, holder: &RangeHolder) -> Option<&mut TargetView> {
--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -49,6 +49,8 @@
     /// Number of consecutive failures.
     failures: u32,
     paused_until: Timestamp,
+    /// Until when the target wants no requests from this host.
+    rests_until: Timestamp,
     /// Until when the target counts as out of this host's reach: connections to it failed last.
     unreachable_until: Timestamp,
     /// Spaces this host's requests; `None` unless the target has named a limit on their rate.
@@ -60,6 +62,8 @@
     pub(crate) responded_at: Timestamp,
     /// Number of successful requests since the last call of `take_answered`.
     unreported_count: u32,
+    /// Number of requests since then that the target has turned away with a rest.
+    unreported_rests: u32,
     /// Sum of their response times; see [`AnsweredRequests::total`].
     unreported_total: Duration,
 }
@@ -78,12 +82,14 @@
             failure_rate: 0.0,
             failures: 0,
             paused_until: Timestamp::ZERO,
+            rests_until: Timestamp::ZERO,
             unreachable_until: Timestamp::ZERO,
             pacer: None,
             has_ended: false,
             last_outcome_at: now,
             responded_at: Timestamp::ZERO,
             unreported_count: 0,
+            unreported_rests: 0,
             unreported_total: Duration::ZERO,
         }
     }
@@ -109,10 +115,20 @@
         self.record.phase == TargetPhase::Serving && !self.has_ended
     }
 
-    /// Returns the time until the limit that the target has named allows this host's next request;
-    /// zero if it names none.
+    /// Returns the time until this host may send the next request: until the rest that the target has
+    /// asked for is over, and the limit that it has named allows one. Zero if it has said neither.
     pub fn limit_wait(&self, now: Timestamp) -> Duration {
-        self.pacer.map_or(Duration::ZERO, |pacer| pacer.next_permit(now).since(now))
+        let paced = self.pacer.map_or(Duration::ZERO, |pacer| pacer.next_permit(now).since(now));
+        paced.max(self.rests_until.since(now))
+    }
+
+    /// Records that the target wants no request from this host for some time. Returns whether it
+    /// did not rest before.
+    pub(crate) fn record_rest(&mut self, now: Timestamp, rest: Duration) -> bool {
+        self.unreported_rests += 1;
+        let is_new = self.rests_until <= now;
+        self.rests_until = self.rests_until.max(now + rest);
+        is_new
     }
 
     /// Returns the time between two requests of this host that the limit of the target allows; zero
@@ -242,10 +258,17 @@
         self.unreported_total += elapsed.min(average * OUTLIER_FACTOR);
     }
 
-    pub(crate) fn take_answered(&mut self) -> Option<AnsweredRequests> {
+    pub(crate) fn take_answered(&mut self, now: Timestamp) -> Option<AnsweredRequests> {
         let count = std::mem::take(&mut self.unreported_count);
         let total = std::mem::take(&mut self.unreported_total);
-        (count > 0).then(|| AnsweredRequests { holder: self.record.holder(), count, total })
+        let rests = std::mem::take(&mut self.unreported_rests);
+        (count > 0 || rests > 0).then(|| AnsweredRequests {
+            holder: self.record.holder(),
+            count,
+            total,
+            rests,
+            rest: self.rests_until.since(now),
+        })
     }
 
     fn update_response_time(&mut self, seconds: f64) {
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -198,9 +198,12 @@
         known.clock = Some((report.clock, now));
         known.takes_relays = report.takes_relays;
     });
+    let host_count = host.links.borrow().iter().filter(|link| link.is_entry()).count();
     let mut monitor = host.monitor.borrow_mut();
     let log = host.log.borrow();
-    report.runs.iter().for_each(|answered| monitor.record_answered(now, log.state(), answered));
+    for answered in &report.runs {
+        monitor.record_answered(now, log.state(), answered, host_count);
+    }
     for limit in &report.limits {
         if monitor.record_limit(limit.received(now)) {
             log_limit(&limit.holder, limit.per_second);
--- a/crates/gw-gateway/src/control/target_monitor.rs
+++ b/crates/gw-gateway/src/control/target_monitor.rs
@@ -7,6 +7,7 @@
 use gw_fleet::FleetState;
 use gw_fleet::TargetPhase;
 use gw_fleet::TargetRecord;
+use gw_ranges::AcceptanceEstimator;
 use gw_ranges::HolderStatus;
 use gw_ranges::ProcessingTimeEstimator;
 use gw_ranges::RangeCandidate;
@@ -30,7 +31,7 @@
 /// Age from which a limit no longer keeps keys away from a target. Without keys it gets no request
 /// and cannot say that the limit has ended. Entry hosts respect the limit until it says so.
 const MAX_LIMIT_AGE: Duration = Duration::from_secs(10);
-/// Smallest relative speed of a target that has named a limit.
+/// Smallest relative speed of a target that has named a limit or turns requests away.
 const MIN_LIMITED_SPEED: f64 = 0.02;
 /// Processing time that is assumed for a service whose targets' times are not known.
 const DEFAULT_PROCESSING_SECONDS: f64 = 0.1;
@@ -49,6 +50,8 @@
     contacts: BTreeMap<TargetName, LastContact>,
     /// Processing times, estimated from the reports of entry hosts.
     estimators: BTreeMap<RangeHolder, ProcessingTimeEstimator>,
+    /// Fractions of requests that targets take, from the reports of entry hosts.
+    acceptance: BTreeMap<RangeHolder, AcceptanceEstimator>,
     /// Limits on the rate of requests that targets have named, as reported by entry hosts.
     limits: LimitTable,
     /// Start of the observation. A target that was not heard since then counts as heard at this
@@ -89,19 +92,29 @@
         }
     }
 
-    /// Records requests that a target answered, as reported by an entry host.
+    /// Records requests that a target answered or turned away, as reported by one of `host_count`
+    /// entry hosts.
     pub(crate) fn record_answered(
         &mut self,
         now: Timestamp,
         state: &FleetState,
         report: &RunReport,
+        host_count: usize,
     ) {
         self.record_contact(now, &report.holder.target);
         let target = state.target(&report.holder.target);
         let Some(target) = target.filter(|target| target.run == report.holder.run) else { return };
-        let total = Duration::from_millis(u64::from(report.milliseconds));
         let estimator = self.estimators.entry(report.holder.clone()).or_default();
-        estimator.record(now, report.runs, total, target.work_slots);
+        if report.rests > 0 {
+            let rest = Duration::from_millis(u64::from(report.rest_millis));
+            let answered = estimator.recent_requests(now);
+            let acceptance = self.acceptance.entry(report.holder.clone()).or_default();
+            acceptance.record_turned_away(now, report.rests, rest, host_count, answered);
+        }
+        if report.runs > 0 {
+            let total = Duration::from_millis(u64::from(report.milliseconds));
+            estimator.record(now, report.runs, total, target.work_slots);
+        }
     }
 
     /// Records what a target said to an entry host about the rate of requests that it takes. Returns
@@ -136,6 +149,9 @@
         self.estimators.retain(|holder, _| {
             state.target(&holder.target).is_some_and(|target| target.run == holder.run)
         });
+        self.acceptance.retain(|holder, _| {
+            state.target(&holder.target).is_some_and(|target| target.run == holder.run)
+        });
         self.limits.expire(now, |holder| {
             state.target(&holder.target).is_some_and(|target| target.run == holder.run)
         });
@@ -217,6 +233,9 @@
         let own = self.processing_time(now, target);
         let speed = own.zip(typical).map_or(1.0, |(own, typical)| typical / own);
         let speed = speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+        let acceptance = self.acceptance.get(&target.holder());
+        let taken = acceptance.map_or(1.0, |acceptance| acceptance.fraction(now));
+        let speed = if taken < 1.0 { (speed * taken).max(MIN_LIMITED_SPEED) } else { speed };
         let limit = self.limits.find(&target.name, target.run);
         let limit = limit.filter(|limit| now.since(limit.stated_at) < MAX_LIMIT_AGE);
         let Some(per_second) = limit.and_then(|limit| limit.per_second) else { return speed };
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -402,11 +402,13 @@
     }
 
     fn take_answered(&self) -> Vec<RunReport> {
-        let answered = self.host.pool.borrow_mut().take_answered();
+        let answered = self.host.pool.borrow_mut().take_answered(self.host.now());
         let report = |answered: AnsweredRequests| RunReport {
             holder: answered.holder,
             runs: answered.count,
             milliseconds: u32::try_from(answered.total.as_millis()).unwrap_or(u32::MAX),
+            rests: answered.rests,
+            rest_millis: u32::try_from(answered.rest.as_millis()).unwrap_or(u32::MAX),
         };
         answered.into_iter().map(report).collect()
     }
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -355,12 +355,13 @@
     let throttle = host.throttle.borrow();
     let share = assignment.holder.as_ref().and_then(|holder| throttle.share_of(holder));
     format!(
-        "holder={} next={} fence={} in_flight={} failures={} share={}",
+        "holder={} next={} fence={} in_flight={} failures={} share={} limit_ms={}",
         name(&assignment.holder),
         name(&assignment.successor),
         assignment.fence,
         target.map_or(0, |target| target.in_flight),
         target.map_or(0, |target| target.failures()),
         share.map_or_else(|| "all".to_owned(), |share| format!("{share:.2}")),
+        target.map_or(0, |target| target.limit_wait(host.now()).as_millis()),
     )
 }
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -305,7 +305,10 @@
             stated_at: host.now(),
         });
     }
-    if is_id_echoed && let Some(rest) = metadata.rest {
+    if is_id_echoed
+        && let Some(rest) = metadata.rest
+        && host.pool.borrow_mut().record_rest(host.now(), &permit.holder, rest)
+    {
         log_statement(request, &permit, "target_rest", &format!("ms={}", rest.as_millis()));
     }
     if is_id_echoed && metadata.is_leaving {
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -63,15 +63,19 @@
     pub(crate) counts: Vec<(u16, u32)>,
 }
 
-/// Requests that a target answered without failure since the last report.
+/// Requests that a target answered without failure, or turned away, since the last report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct RunReport {
     /// Run of the target that answered.
     pub(crate) holder: RangeHolder,
-    /// Number of requests.
+    /// Number of requests that it answered.
     pub(crate) runs: u32,
     /// Sum of their response times, in milliseconds.
     pub(crate) milliseconds: u32,
+    /// Number of requests that it turned away and asked the host for rest.
+    pub(crate) rests: u32,
+    /// Remaining time of that rest, in milliseconds.
+    pub(crate) rest_millis: u32,
 }
 
 /// What a run of a target last said about the rate of requests that it takes.
--- a/crates/gw-ranges/src/lib.rs
+++ b/crates/gw-ranges/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod acceptance_estimator;
 mod decayed_counts;
 mod granter_options;
 mod holder_share;
@@ -22,6 +23,7 @@
 mod range_table;
 mod target_order;
 
+pub use acceptance_estimator::AcceptanceEstimator;
 pub use decayed_counts::DecayedCounts;
 pub use granter_options::GranterOptions;
 pub use holder_share::HolderShare;
--- a/crates/gw-ranges/src/processing_time_estimator.rs
+++ b/crates/gw-ranges/src/processing_time_estimator.rs
@@ -4,7 +4,7 @@
 
 /// Half-life of a request's weight. Long enough that a few outliers move no keys, short enough that
 /// keys move away within seconds from a target that becomes slow.
-const HALF_LIFE: Duration = Duration::from_secs(3);
+pub(crate) const HALF_LIFE: Duration = Duration::from_secs(3);
 /// Smallest total weight of requests for an estimate; with fewer, the estimate is mostly noise.
 const MIN_REQUESTS: f64 = 4.0;
 /// Time in which the estimate takes over half of an increase. When a hot key arrives, response
@@ -51,8 +51,12 @@
     /// Returns the processing time of one request in seconds; `None` if there were too few recent
     /// requests.
     pub fn processing_time(&self, now: Timestamp) -> Option<f64> {
-        let requests = self.requests * decay(now.since(self.updated_at), HALF_LIFE);
-        self.estimate.filter(|_| requests >= MIN_REQUESTS)
+        self.estimate.filter(|_| self.recent_requests(now) >= MIN_REQUESTS)
+    }
+
+    /// Returns the number of recent requests, each weighted by its age.
+    pub fn recent_requests(&self, now: Timestamp) -> f64 {
+        self.requests * decay(now.since(self.updated_at), HALF_LIFE)
     }
 
     fn current_estimate(&self, slots: u16) -> f64 {
@@ -73,6 +77,6 @@
 }
 
 /// Returns the fraction that remains after `age` of exponential decay with `half_life`.
-fn decay(age: Duration, half_life: Duration) -> f64 {
+pub(crate) fn decay(age: Duration, half_life: Duration) -> f64 {
     (-age.as_secs_f64() / half_life.as_secs_f64()).exp2()
 }
