fix(gw-balance, gw-gateway): targets that say that they leave get no new requests

What targets saw: a target that said Server-Leaving in its answers got 75 and 100 requests of one host that were sent over drain-s later (test, control host lost or not), for as long as its announcement did not say so too.

Cause: nothing read the header; a host learned of leaving targets through the control group only, which a target or a host that is cut off does not reach. Class: as with rests, a statement of a peer that no part owns; and a fact that travels over one path though another, the answer itself, is there.

--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -348,6 +348,18 @@
         self.target_mut(holder).is_some_and(|target| target.record_rest(now, rest))
     }
 
+    /// Records that a target has said to this host that it leaves. Returns whether that is news.
+    pub fn record_leaving(&mut self, now: Timestamp, holder: &RangeHolder) -> bool {
+        self.target_mut(holder).is_some_and(|target| target.record_leaving(now))
+    }
+
+    /// Returns the targets that have said to this host that they leave, and that have not announced
+    /// it.
+    pub fn leaving(&self) -> Vec<RangeHolder> {
+        let leaving = self.targets.iter().filter(|target| target.is_leaving_unannounced());
+        leaving.map(|target| target.record.holder()).collect()
+    }
+
     /// Returns the requests that were answered or turned away since the last call, one entry per
     /// target.
     pub fn take_answered(&mut self, now: Timestamp) -> Vec<AnsweredRequests> {
--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -40,7 +40,7 @@
     pub(crate) factor_spread: f64,
     /// Number of this host's requests in flight at the target.
     pub in_flight: u32,
-    /// Time at which this host learned that the target is draining.
+    /// Time at which this host learned that the target is draining, from its record or its own answer.
     pub(crate) draining_since: Option<Timestamp>,
     /// Moving average of the response time in seconds; `None` before the first response.
     response_time: Option<f64>,
@@ -112,7 +112,19 @@
 
     /// Returns whether the target accepts new requests, even if it is paused or limited.
     pub(crate) fn is_serving(&self) -> bool {
-        self.record.phase == TargetPhase::Serving && !self.has_ended
+        self.draining_since.is_none() && !self.has_ended
+    }
+
+    /// Records that the target has said to this host that it leaves. Returns whether that is news.
+    pub(crate) fn record_leaving(&mut self, now: Timestamp) -> bool {
+        let is_new = self.draining_since.is_none();
+        self.draining_since.get_or_insert(now);
+        is_new
+    }
+
+    /// Returns whether this host knows that the target is draining and the replicated state does not.
+    pub(crate) fn is_leaving_unannounced(&self) -> bool {
+        self.draining_since.is_some() && self.record.phase == TargetPhase::Serving
     }
 
     /// Returns the time until this host may send the next request: until the rest that the target has
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -369,6 +369,7 @@
             runs: Vec::new(),
             crashes: Vec::new(),
             limits: Vec::new(),
+            leaving: Vec::new(),
             takes_relays: self.host.takes_relays(),
         };
         self.ticks = self.ticks.wrapping_add(1);
@@ -382,7 +383,9 @@
                 let heat = self.take_request_counts();
                 let runs = self.take_answered();
                 let limits = LimitReport::of(now, &self.host.named_limits.borrow());
-                EntryReport { heat, runs, crashes: crashes.clone(), limits, ..base.clone() }
+                let leaving = self.host.pool.borrow().leaving();
+                let crashes = crashes.clone();
+                EntryReport { heat, runs, crashes, limits, leaving, ..base.clone() }
             } else {
                 base.clone()
             };
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -311,7 +311,10 @@
     {
         log_statement(request, &permit, "target_rest", &format!("ms={}", rest.as_millis()));
     }
-    if is_id_echoed && metadata.is_leaving {
+    if is_id_echoed
+        && metadata.is_leaving
+        && host.pool.borrow_mut().record_leaving(host.now(), &permit.holder)
+    {
         log_statement(request, &permit, "target_leaving", "source=answer");
     }
     if metadata.is_refusal && (metadata.request_id.is_none() || is_id_echoed) {
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -129,6 +129,9 @@
     pub(crate) crashes: Vec<QuarantineEntry>,
     /// Limits that targets have named; empty unless the receiver is the leader.
     pub(crate) limits: Vec<LimitReport>,
+    /// Targets that have said in an answer that they leave and have not announced it; empty unless
+    /// the receiver is the leader.
+    pub(crate) leaving: Vec<RangeHolder>,
     /// Whether the host can forward requests of others to targets.
     pub(crate) takes_relays: bool,
 }
