--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -13,7 +13,10 @@
 use gw_daemon::control::JournalWriter;
 use gw_dispatch::CrashQuarantine;
 use gw_dispatch::QuarantineOptions;
+use gw_fleet::FleetCommand;
 use gw_fleet::ReplacementWindow;
+use gw_fleet::TargetPhase;
+use gw_fleet::TargetRecord;
 use gw_ranges::RangeHolder;
 use gw_types::Clock;
 use gw_types::HostId;
@@ -243,6 +246,30 @@
         }
     }
 
+    /// Records as draining, if this host is the confirmed leader, the targets that have said in an
+    /// answer that they leave. `source` is the kind of answer, for the log.
+    pub(crate) fn record_leaving<'a>(
+        &self,
+        leaving: impl IntoIterator<Item = &'a RangeHolder>,
+        source: &str,
+    ) {
+        let mut leaving = leaving.into_iter().peekable();
+        if leaving.peek().is_none() || !self.is_confirmed_leader() {
+            return;
+        }
+        for holder in leaving {
+            let known = self.log.borrow().state().target(&holder.target).cloned();
+            let is_news = |known: &TargetRecord| {
+                known.run == holder.run && known.phase == TargetPhase::Serving
+            };
+            if let Some(known) = known.filter(is_news) {
+                log::info!("event=target_leaving target={holder} source={source}");
+                let record = TargetRecord { phase: TargetPhase::Draining, ..known };
+                self.propose(FleetCommand::PutTarget(record));
+            }
+        }
+    }
+
     /// Whether this replica is the leader in its current term, even without a recent confirmation
     /// by a majority.
     pub(crate) fn is_leader(&self) -> bool {
--- a/crates/gw-gateway/src/control/order_delivery.rs
+++ b/crates/gw-gateway/src/control/order_delivery.rs
@@ -144,7 +144,11 @@
     // Checked right before sending: a host that was suspended or lost its majority must not grant
     // ranges.
     let may_send = || host.is_confirmed_leader();
-    let outcome = send_order(&*host.adapter, &host.connections, address, order, may_send).await;
+    let reply = send_order(&*host.adapter, &host.connections, address, order, may_send).await;
+    if reply.is_leaving {
+        host.record_leaving([&order.holder], "order");
+    }
+    let outcome = reply.outcome;
     let is_reached = matches!(outcome, OrderOutcome::Done { .. } | OrderOutcome::Refused);
     unreachable.record(host.now(), target, is_reached);
     if outcome == OrderOutcome::NotSent
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -4,10 +4,7 @@
 
 use gw_balance::RelayHost;
 use gw_balance::RelayTable;
-use gw_fleet::FleetCommand;
 use gw_fleet::FleetState;
-use gw_fleet::TargetPhase;
-use gw_fleet::TargetRecord;
 use gw_ranges::HolderShare;
 use gw_ranges::RangeHolder;
 use gw_types::HostId;
@@ -212,26 +209,12 @@
             log_limit(&limit.holder, limit.per_second);
         }
     }
-    let leaving: Vec<TargetRecord> =
-        report.leaving.iter().filter_map(|holder| drained(log.state(), holder)).collect();
     let mut granters = host.granters.borrow_mut();
     report.heat.iter().for_each(|counts| granters.record_requests(now, counts));
     let mut quarantine = host.quarantine.borrow_mut();
     report.crashes.iter().for_each(|entry| quarantine.merge(now, entry));
     drop((monitor, log, granters, quarantine));
-    if host.is_confirmed_leader() {
-        for record in leaving {
-            log::info!("event=target_leaving target={} source=report", record.holder());
-            host.propose(FleetCommand::PutTarget(record));
-        }
-    }
-}
-
-/// Returns the record of a target that leaves, unless it is known to drain or has ended.
-fn drained(state: &FleetState, holder: &RangeHolder) -> Option<TargetRecord> {
-    let known = state.target(&holder.target)?;
-    let is_news = known.run == holder.run && known.phase == TargetPhase::Serving;
-    is_news.then(|| TargetRecord { phase: TargetPhase::Draining, ..known.clone() })
+    host.record_leaving(&report.leaving, "report");
 }
 
 /// Sends a head to the entry hosts that have connected since the last tick. After a change of the
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -436,7 +436,11 @@
     send_before: Timestamp,
 ) {
     let may_send = || host.now() < send_before;
-    let outcome = send_order(&*host.adapter, &host.connections, address, &order, may_send).await;
+    let reply = send_order(&*host.adapter, &host.connections, address, &order, may_send).await;
+    if reply.is_leaving {
+        host.pool.borrow_mut().record_leaving(host.now(), &order.holder);
+    }
+    let outcome = reply.outcome;
     log::info!(
         "event=order_relayed service={} target={} range={} fence={} outcome={outcome:?}",
         order.service,
--- a/crates/gw-gateway/src/targets/order_sender.rs
+++ b/crates/gw-gateway/src/targets/order_sender.rs
@@ -23,6 +23,14 @@
 /// Largest response to an order, in bytes.
 const MAX_REPLY_BYTES: usize = 16 * 1024;
 
+/// What a target has said to an order.
+#[derive(Debug)]
+pub(crate) struct OrderReply {
+    pub(crate) outcome: OrderOutcome,
+    /// Whether the target has carried out the order and says that it leaves.
+    pub(crate) is_leaving: bool,
+}
+
 /// Sends an order to a target. The order is dropped if `may_send` returns `false` right before it
 /// would be handed to the connection.
 pub(crate) async fn send_order(
@@ -31,7 +39,8 @@
     address: SocketAddr,
     order: &TargetOrder,
     may_send: impl Fn() -> bool,
-) -> OrderOutcome {
+) -> OrderReply {
+    let unanswered = |outcome| OrderReply { outcome, is_leaving: false };
     let call = adapter.write_order(order);
     let request = Request::builder()
         .method(call.method)
@@ -46,7 +55,7 @@
         }
         Err(error) => {
             log::error!("event=order_not_written target={} cause=\"{error}\"", order.holder.target);
-            return OrderOutcome::NotSent;
+            return unanswered(OrderOutcome::NotSent);
         }
     };
     let limit = match order.kind {
@@ -60,12 +69,16 @@
     };
     match connections.exchange(address, request, &options, may_send).await {
         ExchangeOutcome::Replied(reply) => {
-            adapter.read_order_response(order, reply.head.status, &reply.head.headers)
+            let outcome =
+                adapter.read_order_response(order, reply.head.status, &reply.head.headers);
+            let is_done = matches!(outcome, OrderOutcome::Done { .. });
+            let is_leaving = is_done && adapter.read_response_metadata(&reply.head).is_leaving;
+            OrderReply { outcome, is_leaving }
         }
-        ExchangeOutcome::NotSent(_) => OrderOutcome::NotSent,
+        ExchangeOutcome::NotSent(_) => unanswered(OrderOutcome::NotSent),
         // Responses to orders are small; anything else is not one.
         ExchangeOutcome::Streaming(_)
         | ExchangeOutcome::Broken { .. }
-        | ExchangeOutcome::TimedOut => OrderOutcome::Unanswered,
+        | ExchangeOutcome::TimedOut => unanswered(OrderOutcome::Unanswered),
     }
 }
