fix(gw-gateway): an earlier refusal is not taken as that of a later attempt

A request for a key that was refused goes to the same holder again, with the same id, over the connection that carried the refusal, so that the copy looks like the answer to the second attempt. A copy without an id was taken as the refusal of any request.

Class: an answer matched by an id that does not tell attempts apart. Attempts after a refusal now use a new connection, and a refusal without an id counts only on a new one.

--- a/crates/gw-gateway/src/entry/relay_attempt.rs
+++ b/crates/gw-gateway/src/entry/relay_attempt.rs
@@ -122,13 +122,13 @@
     let outgoing = build_request(request, remaining);
     let end = host.relays.connections.exchange(address, outgoing, &options, || true).await;
     match end {
-        ExchangeOutcome::Replied(TargetReply { head, body, elapsed }) => {
+        ExchangeOutcome::Replied(TargetReply { head, body, elapsed, .. }) => {
             match read_reply(host, request, address, &head, elapsed) {
                 Ok(()) => RelayOutcome::Ended(build_response(head, ResponseBody::Whole(body))),
                 Err(outcome) => outcome,
             }
         }
-        ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed }) => {
+        ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed, .. }) => {
             match read_reply(host, request, address, &head, elapsed) {
                 Ok(()) => {
                     let outcome = AttemptOutcome::Cancelled;
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -181,6 +181,7 @@
     let mut tried: Vec<TargetName> = Vec::new();
     let (mut reached, mut unsent) = (0, 0);
     let mut may_relay = !is_relayed;
+    let mut was_refused = false;
     // Whether a connection to the last target could not be established.
     let mut is_unreachable = false;
     // The reply if no further attempt is made.
@@ -235,7 +236,7 @@
             return refuse(host, request, last.unwrap_or(refusal));
         }
         let target = permit.holder.target.clone();
-        let outcome = attempt(host, request, permit, &mut slot).await;
+        let outcome = attempt(host, request, permit, was_refused, &mut slot).await;
         let misdirected = matches!(outcome, ForwardOutcome::NotExecuted { misdirected: true, .. });
         let may_try_again =
             matches!(outcome, ForwardOutcome::Unknown { is_connection_fault: true, .. });
@@ -248,6 +249,7 @@
             }
             ForwardOutcome::NotExecuted { reason, reached: was_reached, .. } => {
                 reached += u32::from(was_reached);
+                was_refused |= was_reached;
                 unsent += u32::from(!was_reached);
                 is_unreachable = reason == TARGET_UNREACHABLE;
                 // If an earlier attempt of an idempotent request may have been executed, the reply
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -68,11 +68,12 @@
 }
 
 /// Sends a request to the target of `permit` and waits for the response. A large response takes
-/// `slot` with it.
+/// `slot` with it. `was_refused` is whether a target has refused an earlier attempt.
 pub(crate) async fn attempt(
     host: &Rc<EntryHost>,
     request: &ReadRequest,
     permit: SendPermit,
+    was_refused: bool,
     slot: &mut Option<TransferSlot>,
 ) -> ForwardOutcome {
     let now = Instant::now();
@@ -93,6 +94,8 @@
         // On a connection that was used before, a late second copy of an earlier response could not
         // be told from the response to this request.
         _ if request.metadata.request_id.is_none() => Duration::ZERO,
+        // A second copy of the refusal would carry the id of this attempt.
+        _ if was_refused => Duration::ZERO,
         RepeatRule::Idempotent | RepeatRule::UntilFirstByte => Duration::MAX,
         RepeatRule::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
     };
@@ -122,8 +125,10 @@
         holder.target,
     );
     match end {
-        ExchangeOutcome::Replied(TargetReply { head, body, elapsed }) => {
-            match classify_reply(host, request, permit, &head, Some(body.len() as u64), elapsed) {
+        ExchangeOutcome::Replied(TargetReply { head, body, elapsed, was_pooled }) => {
+            let len = Some(body.len() as u64);
+            let reply = ReplyHead { head: &head, len, elapsed, was_pooled };
+            match classify_reply(host, request, permit, reply) {
                 Ok(permit) => {
                     permit.finish(answered(&head, elapsed));
                     build_response(head, ResponseBody::Whole(body))
@@ -131,8 +136,9 @@
                 Err(outcome) => outcome,
             }
         }
-        ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed }) => {
-            match classify_reply(host, request, permit, &head, len, elapsed) {
+        ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed, was_pooled }) => {
+            let reply = ReplyHead { head: &head, len, elapsed, was_pooled };
+            match classify_reply(host, request, permit, reply) {
                 Ok(permit) => {
                     let outcome = answered(&head, elapsed);
                     let stream = ForwardedStream::new(
@@ -284,16 +290,25 @@
     AttemptOutcome::Answered { elapsed, is_failure: head.status.is_server_error() }
 }
 
+/// What is known of a response when it is classified.
+struct ReplyHead<'a> {
+    head: &'a response::Parts,
+    /// Length of the body, if it is known.
+    len: Option<u64>,
+    elapsed: Duration,
+    /// Whether the connection had carried earlier requests.
+    was_pooled: bool,
+}
+
 /// Classifies a response: refused, belonging to another request, or valid. Returns the permit with
 /// a valid one.
 fn classify_reply(
     host: &EntryHost,
     request: &ReadRequest,
     permit: SendPermit,
-    head: &response::Parts,
-    len: Option<u64>,
-    elapsed: Duration,
+    reply: ReplyHead<'_>,
 ) -> Result<SendPermit, ForwardOutcome> {
+    let ReplyHead { head, len, elapsed, was_pooled } = reply;
     let metadata = host.adapter.read_response_metadata(head);
     let is_id_echoed =
         metadata.request_id.is_some() && metadata.request_id == request.metadata.request_id;
@@ -317,7 +332,9 @@
     {
         log_statement(request, &permit, "target_leaving", "source=answer");
     }
-    if metadata.is_refusal && (metadata.request_id.is_none() || is_id_echoed) {
+    // On a connection that was used before, a refusal without an id may be that of an earlier request.
+    let is_first_nameless = metadata.request_id.is_none() && !was_pooled;
+    if metadata.is_refusal && (is_id_echoed || is_first_nameless) {
         log_failure(request, &permit, "refused", status.as_str());
         let is_other_target =
             metadata.other_target.as_ref().is_some_and(|name| *name != permit.holder.target);
--- a/crates/gw-gateway/src/targets/exchange.rs
+++ b/crates/gw-gateway/src/targets/exchange.rs
@@ -24,6 +24,8 @@
     pub(crate) body: Bytes,
     /// Time from sending the request to the end of the response.
     pub(crate) elapsed: Duration,
+    /// Whether the connection had carried earlier requests.
+    pub(crate) was_pooled: bool,
 }
 
 /// The beginning of a response of a target that is forwarded as it arrives.
@@ -35,6 +37,8 @@
     pub(crate) stream: TargetStream,
     /// Time from sending the request to the decision to stream.
     pub(crate) elapsed: Duration,
+    /// Whether the connection had carried earlier requests.
+    pub(crate) was_pooled: bool,
 }
 
 /// Outcome of an exchange with a target. The variants state whether the target may have executed
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -65,6 +65,14 @@
     usable_until: Instant,
 }
 
+/// A response of which the head has arrived.
+struct ReceivedHead {
+    response: Response<Incoming>,
+    /// When the request was sent.
+    started: Instant,
+    was_pooled: bool,
+}
+
 /// Pool of connections to targets. Each connection carries one request at a time.
 #[derive(Clone)]
 pub(crate) struct TargetConnections {
@@ -197,7 +205,8 @@
             match sent {
                 Err(_) => return ExchangeOutcome::TimedOut,
                 Ok(Ok(response)) => {
-                    let reply = self.read_reply(address, connection, response, started, options);
+                    let received = ReceivedHead { response, started, was_pooled: is_pooled };
+                    let reply = self.read_reply(address, connection, received, options);
                     return reply.await.unwrap_or_else(|cause| broken(cause, is_pooled));
                 }
                 Ok(Err(mut failed)) => match failed.take_message() {
@@ -214,10 +223,10 @@
         &self,
         address: SocketAddr,
         connection: TargetConnection,
-        response: Response<Incoming>,
-        started: Instant,
+        received: ReceivedHead,
         options: &ExchangeOptions,
     ) -> Result<ExchangeOutcome, String> {
+        let ReceivedHead { response, started, was_pooled } = received;
         let ExchangeOptions { deadline, max_whole_bytes, .. } = *options;
         let (head, mut body) = response.into_parts();
         let len = body.size_hint().exact();
@@ -250,12 +259,18 @@
         if is_large {
             let (connection, body) = ((connection, idle_time), (received, body, len.is_some()));
             let stream = TargetStream::new(self.clone(), address, connection, body, deadline);
-            return Ok(ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed }));
+            return Ok(ExchangeOutcome::Streaming(StreamedReply {
+                head,
+                len,
+                stream,
+                elapsed,
+                was_pooled,
+            }));
         }
         if let Some(idle_time) = idle_time {
             self.keep(address, connection, idle_time);
         }
-        Ok(ExchangeOutcome::Replied(TargetReply { head, body: received, elapsed }))
+        Ok(ExchangeOutcome::Replied(TargetReply { head, body: received, elapsed, was_pooled }))
     }
 
     /// Whether a connection to `address` is open and idle.
