fix(gw-gateway): a host that stops takes no request that may outlast its grace time

A report of other operators, shown here: in a planned stop, in calm, a request whose last byte came 3.4 s after the signal was sent to a target and cut off without an answer when the process ended, at 5.7 s of 6 s. It must not be sent again, so the caller cannot know.

Cause: once a part of a request has arrived, a closing host waits for the rest, as long as bytes come, and then treats it like any other. Class: work accepted beyond the time in which it can be finished. Once the host closes connections, a request is sent only if its deadline is before the end of the process, also if it was queued or is tried again; others get 503, not run.

Evidence: requests_that_cannot_end_within_the_grace_time_are_refused fails without the change (no answer at 3.4 s) and passes with it; requests of the first 2.6 s are answered as before.

--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -110,6 +110,8 @@
     /// after their current response.
     pub(crate) is_stopping: Cell<bool>,
     pub(crate) closing: watch::Sender<bool>,
+    /// When the process ends, once the host has been told to stop.
+    pub(crate) stops_at: Cell<Option<Instant>>,
     retry_budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     split_cursors: RefCell<BTreeMap<Arc<str>, WeightedRoundRobin>>,
     next_number: Cell<u64>,
@@ -154,6 +156,7 @@
             admission_wakeup: Notify::new(),
             is_stopping: Cell::new(false),
             closing: watch::Sender::new(false),
+            stops_at: Cell::new(None),
             retry_budgets: RefCell::default(),
             split_cursors: RefCell::default(),
             next_number: Cell::new(0),
@@ -178,6 +181,13 @@
         self.has_caught_up.get() && self.state().config().is_some() && !self.is_stopping.get()
     }
 
+    /// Whether a request may be sent to a target now: not if this host closes its connections and
+    /// might end before the response.
+    pub(crate) fn may_send(&self, params: &AdmissionParams) -> bool {
+        let is_closing = *self.closing.borrow();
+        !is_closing || self.stops_at.get().is_none_or(|end| params.deadline <= end)
+    }
+
     /// Whether this host can forward requests of other entry hosts.
     pub(crate) fn takes_relays(&self) -> bool {
         self.is_ready() && !self.connections.path().is_lost()
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -37,6 +37,8 @@
 
 /// `Retry-After` when targets refused all attempts.
 const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// `Retry-After` of a host that stops: others serve the request at once.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(10);
 /// `Retry-After` when the holder of the key is overloaded: keys move to other targets within one to
 /// two seconds.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -195,6 +197,10 @@
             let refusal = LocalReply::not_executed("crashes_targets", QUARANTINE_RETRY_AFTER);
             return refuse(host, request, last.unwrap_or(refusal));
         }
+        if !host.may_send(params) {
+            let refusal = LocalReply::not_executed("stopping", STOP_RETRY_AFTER);
+            return refuse(host, request, last.unwrap_or(refusal));
+        }
         if may_relay && (is_unreachable || host.lacks_path(params)) {
             may_relay = false;
             if reached > 0 && !host.try_retry(&params.service) {
@@ -231,6 +237,10 @@
             }
             Err(refusal) => return refuse(host, request, last.unwrap_or(refusal)),
         };
+        // The host may have started to close while the request was queued.
+        if !host.may_send(params) {
+            continue;
+        }
         if reached > 0 && !host.try_retry(&params.service) {
             let refusal = LocalReply::not_executed("retry_budget", REFUSAL_RETRY_AFTER);
             return refuse(host, request, last.unwrap_or(refusal));
--- a/crates/gw-gateway/src/entry/run_entry.rs
+++ b/crates/gw-gateway/src/entry/run_entry.rs
@@ -76,6 +76,7 @@
     shutdown_signal().await?;
     host.is_stopping.set(true);
     let end = tokio::time::Instant::now() + grace_time.saturating_sub(SHUTDOWN_MARGIN);
+    host.stops_at.set(Some(end));
     log::info!("event=stopping connections={}", count.get());
     tokio::time::sleep(DRAIN_DELAY.min(grace_time / 2)).await;
     // Closes idle connections now and the others after their current response.
