fix(gw-gateway): an earlier refusal does not answer the next order to a target

A second copy of a refusal made the leader believe that a grant was refused which the target had carried out, so that the keys could be given to another target while this one served them.

An answer other than a success on a connection that was used before, or one that bears the id of a request, is now doubted: the same order is sent again over a new connection, as orders can be.

--- a/crates/gw-gateway/src/targets/order_sender.rs
+++ b/crates/gw-gateway/src/targets/order_sender.rs
@@ -40,7 +40,6 @@
     order: &TargetOrder,
     may_send: impl Fn() -> bool,
 ) -> OrderReply {
-    let unanswered = |outcome| OrderReply { outcome, is_leaving: false };
     let call = adapter.write_order(order);
     let request = Request::builder()
         .method(call.method)
@@ -55,7 +54,7 @@
         }
         Err(error) => {
             log::error!("event=order_not_written target={} cause=\"{error}\"", order.holder.target);
-            return unanswered(OrderOutcome::NotSent);
+            return OrderReply { outcome: OrderOutcome::NotSent, is_leaving: false };
         }
     };
     let limit = match order.kind {
@@ -67,7 +66,39 @@
         max_idle: Duration::MAX,
         max_whole_bytes: MAX_REPLY_BYTES,
     };
-    match connections.exchange(address, request, &options, may_send).await {
+    let end = connections.exchange(address, request.clone(), &options, &may_send).await;
+    if !is_doubtful(adapter, &end) {
+        return read_reply(adapter, order, end);
+    }
+    // Orders can be repeated; the answer over a new connection is that to this order.
+    log::warn!("event=order_answer_doubtful target={} address={address}", order.holder);
+    connections.close_idle(address);
+    let options = ExchangeOptions { max_idle: Duration::ZERO, ..options };
+    let end = connections.exchange(address, request, &options, &may_send).await;
+    match read_reply(adapter, order, end) {
+        // The first one was sent.
+        OrderReply { outcome: OrderOutcome::NotSent, .. } => {
+            OrderReply { outcome: OrderOutcome::Unanswered, is_leaving: false }
+        }
+        reply => reply,
+    }
+}
+
+/// Whether an answer may be that to an earlier order or request on the same connection, which a
+/// faulty target has written once more. Answers to orders have no id.
+fn is_doubtful(adapter: &dyn ProtocolAdapter, end: &ExchangeOutcome) -> bool {
+    let ExchangeOutcome::Replied(reply) = end else { return false };
+    let has_id = adapter.read_response_metadata(&reply.head).request_id.is_some();
+    reply.was_pooled && (has_id || !reply.head.status.is_success())
+}
+
+fn read_reply(
+    adapter: &dyn ProtocolAdapter,
+    order: &TargetOrder,
+    end: ExchangeOutcome,
+) -> OrderReply {
+    let unanswered = |outcome| OrderReply { outcome, is_leaving: false };
+    match end {
         ExchangeOutcome::Replied(reply) => {
             let outcome =
                 adapter.read_order_response(order, reply.head.status, &reply.head.headers);
