refactor(gw-gateway): relayed requests in a function of their own, with the attempts that are left

RelayHosts has its own file, and the outcome of a relay only the cases that exist. One change of behaviour: a relay is told how many targets the request may still be sent to, so that an idempotent request that one target had before its host lost its path does not exceed the attempts of its route.

--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -37,7 +37,7 @@
 use crate::GatewaySettings;
 use crate::entry::admission::AdmissionParams;
 use crate::entry::admission::SendPermit;
-use crate::entry::relay_attempt::RelayHosts;
+use crate::entry::relay_hosts::RelayHosts;
 use crate::entry::transfer_gate::TransferGate;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::link::log_limit;
--- a/crates/gw-gateway/src/entry/mod.rs
+++ b/crates/gw-gateway/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod read_request;
 mod relay_attempt;
 mod relay_headers;
+mod relay_hosts;
 mod request_handler;
 mod run_entry;
 mod target_attempt;
--- a/crates/gw-gateway/src/entry/read_request.rs
+++ b/crates/gw-gateway/src/entry/read_request.rs
@@ -14,7 +14,7 @@
 use crate::entry::admission::AdmissionParams;
 use crate::entry::entry_host::EntryHost;
 use crate::entry::local_reply::LocalReply;
-use crate::entry::relay_headers::RelayTimes;
+use crate::entry::relay_headers::RelayTerms;
 use crate::ports::RequestMetadata;
 
 /// Response timeout when neither the caller nor the route sets one.
@@ -63,21 +63,23 @@
 ) -> Result<ReadRequest, LocalReply> {
     let (mut head, body) = request.into_parts();
     let mut metadata = host.adapter.read_request_metadata(&head);
-    let mut age = Duration::ZERO;
+    let (mut age, mut max_attempts) = (Duration::ZERO, u32::MAX);
     if origin == RequestOrigin::EntryHost
-        && let Some(times) = RelayTimes::take(&mut head.headers)
+        && let Some(terms) = RelayTerms::take(&mut head.headers)
     {
-        metadata.timeout = Some(times.remaining);
-        age = times.age;
+        metadata.timeout = Some(terms.remaining);
+        age = terms.age;
+        max_attempts = terms.attempts;
     }
     let Some(config) = host.config() else {
         return Err(LocalReply::not_executed("no_configuration", STARTUP_RETRY_AFTER));
     };
     let named = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let name = named.or_else(|| head.uri.host()).unwrap_or_default().to_owned();
-    let Some(rule) = config.find_route(&name, head.uri.path()).cloned() else {
+    let Some(mut rule) = config.find_route(&name, head.uri.path()).cloned() else {
         return Err(unknown_route(host));
     };
+    rule.max_attempts = rule.max_attempts.min(max_attempts);
     let Some(service) = host.choose_service(&name, &rule) else {
         return Err(LocalReply::not_executed("no_service", STARTUP_RETRY_AFTER));
     };
--- a/crates/gw-gateway/src/entry/relay_attempt.rs
+++ b/crates/gw-gateway/src/entry/relay_attempt.rs
@@ -1,15 +1,12 @@
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use gw_balance::AttemptOutcome;
-use gw_balance::RelayPeer;
-use gw_balance::RelayPool;
 use gw_routing::RepeatRule;
-use gw_types::Timestamp;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http::response;
 use http_body_util::Full;
@@ -19,56 +16,40 @@
 use crate::entry::admission::MOVE_RETRY_AFTER;
 use crate::entry::entry_host::EntryHost;
 use crate::entry::forwarded_stream::ForwardedStream;
-use crate::entry::local_reply::LocalReply;
 use crate::entry::read_request::ReadRequest;
 use crate::entry::relay_headers::PATH_LOST;
 use crate::entry::relay_headers::RelayRefusal;
-use crate::entry::relay_headers::RelayTimes;
+use crate::entry::relay_headers::RelayTerms;
 use crate::entry::relay_headers::TARGET_UNREACHABLE;
-use crate::entry::target_attempt::ForwardOutcome;
 use crate::entry::target_attempt::MAX_IDLE_AT_MOST_ONCE;
 use crate::entry::target_attempt::MAX_WHOLE_BYTES;
 use crate::entry::target_attempt::build_response;
 use crate::entry::target_attempt::copy_request;
 use crate::entry::transfer_gate::TransferSlot;
-use crate::ports::TargetDialer;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
 use crate::targets::StreamedReply;
-use crate::targets::TargetConnections;
 use crate::targets::TargetReply;
 
 /// Number of relays through which a request is sent, as long as none of them can execute it.
 const MAX_RELAYS: usize = 3;
 
-/// Other entry hosts that forward requests for this host, and the connections to them.
-pub(crate) struct RelayHosts {
-    connections: TargetConnections,
-    pool: RefCell<RelayPool>,
-}
-
-impl RelayHosts {
-    pub(crate) fn new(dialer: Rc<dyn TargetDialer>) -> Self {
-        Self { connections: TargetConnections::new(dialer), pool: RefCell::default() }
-    }
-
-    /// Replaces the relays. A new leader may not know any yet, so that none does not replace them.
-    pub(crate) fn update(&self, peers: impl ExactSizeIterator<Item = RelayPeer>) {
-        if peers.len() > 0 {
-            self.pool.borrow_mut().update(peers);
-        }
-    }
-
-    fn choose(&self, now: Timestamp, tried: &[SocketAddr]) -> Option<SocketAddr> {
-        self.pool.borrow_mut().choose(now, tried)
-    }
+/// Outcome of sending a request through other entry hosts.
+pub(crate) enum RelayOutcome {
+    /// The response of a target.
+    Response(Box<Response<ResponseBody>>),
+    /// A target may have executed the request.
+    Unknown { status: StatusCode, reason: &'static str },
+    /// No target has executed the request.
+    Refused { reason: String, retry_after: Duration },
 }
 
 /// Sends a request through another entry host, which admits it and sends it to a target. `None` if
-/// no relay is known. A large response takes `slot` with it.
+/// no relay is known. It may be sent to `attempts` targets. A large response takes `slot` with it.
 pub(crate) async fn relay(
     host: &Rc<EntryHost>,
     request: &ReadRequest,
+    attempts: u32,
     slot: &mut Option<TransferSlot>,
 ) -> Option<RelayOutcome> {
     let mut tried = Vec::new();
@@ -76,7 +57,7 @@
     while tried.len() < MAX_RELAYS {
         let Some(address) = host.relays.choose(host.now(), &tried) else { break };
         tried.push(address);
-        let outcome = relay_through(host, request, address, slot).await;
+        let outcome = relay_through(host, request, attempts, address, slot).await;
         let RelayOutcome::Refused { reason, .. } = &outcome else { return Some(outcome) };
         let may_other_reach = reason == PATH_LOST || reason == TARGET_UNREACHABLE;
         if !may_other_reach {
@@ -87,24 +68,10 @@
     last
 }
 
-/// Outcome of sending a request through other entry hosts.
-pub(crate) enum RelayOutcome {
-    /// The relay's target has responded, or a target may have executed the request.
-    Ended(ForwardOutcome),
-    /// The request was not executed.
-    Refused { reason: String, retry_after: Duration },
-}
-
-impl RelayOutcome {
-    /// Returns the reply to the caller of a request that no relay has executed.
-    pub(crate) fn refusal(retry_after: Duration) -> LocalReply {
-        LocalReply::not_executed("relay_refused", retry_after)
-    }
-}
-
 async fn relay_through(
     host: &Rc<EntryHost>,
     request: &ReadRequest,
+    attempts: u32,
     address: SocketAddr,
     slot: &mut Option<TransferSlot>,
 ) -> RelayOutcome {
@@ -119,12 +86,12 @@
         RepeatRule::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
     };
     let options = ExchangeOptions { deadline, max_idle, max_whole_bytes: MAX_WHOLE_BYTES };
-    let outgoing = build_request(request, remaining);
-    let end = host.relays.connections.exchange(address, outgoing, &options, || true).await;
+    let outgoing = build_request(request, remaining, attempts);
+    let end = host.relays.connections().exchange(address, outgoing, &options, || true).await;
     match end {
         ExchangeOutcome::Replied(TargetReply { head, body, elapsed, .. }) => {
             match read_reply(host, request, address, &head, elapsed) {
-                Ok(()) => RelayOutcome::Ended(build_response(head, ResponseBody::Whole(body))),
+                Ok(()) => respond(head, ResponseBody::Whole(body)),
                 Err(outcome) => outcome,
             }
         }
@@ -136,14 +103,14 @@
                         ForwardedStream::new(host, request, None, stream, outcome, slot.take());
                     let pieces = Box::new(stream);
                     let body = ResponseBody::Streamed { len, pieces, deadline };
-                    RelayOutcome::Ended(build_response(head, body))
+                    respond(head, body)
                 }
                 Err(outcome) => outcome,
             }
         }
         ExchangeOutcome::NotSent(cause) => {
             log_relay(request, address, "not_sent", &cause);
-            host.relays.pool.borrow_mut().avoid(host.now(), address);
+            host.relays.avoid(host.now(), address);
             refused(TARGET_UNREACHABLE, MOVE_RETRY_AFTER)
         }
         ExchangeOutcome::Broken { cause, .. } => {
@@ -168,7 +135,7 @@
     if let Some(refusal) = RelayRefusal::read(&head.headers) {
         log_relay(request, address, "refused", &refusal.reason);
         if refusal.reason == PATH_LOST {
-            host.relays.pool.borrow_mut().avoid(host.now(), address);
+            host.relays.avoid(host.now(), address);
         }
         return Err(match refusal.is_not_run {
             true => refused(&refusal.reason, refusal.retry_after.unwrap_or(MOVE_RETRY_AFTER)),
@@ -211,11 +178,20 @@
 }
 
 fn unknown(status: StatusCode, reason: &'static str) -> RelayOutcome {
-    RelayOutcome::Ended(ForwardOutcome::Unknown { status, reason, is_connection_fault: true })
+    RelayOutcome::Unknown { status, reason }
 }
 
-fn build_request(request: &ReadRequest, remaining: Duration) -> Request<Full<Bytes>> {
+fn respond(head: response::Parts, body: ResponseBody) -> RelayOutcome {
+    RelayOutcome::Response(Box::new(build_response(head, body)))
+}
+
+fn build_request(
+    request: &ReadRequest,
+    remaining: Duration,
+    attempts: u32,
+) -> Request<Full<Bytes>> {
     let mut outgoing = copy_request(request);
-    RelayTimes { remaining, age: request.started.elapsed() }.write(outgoing.headers_mut());
+    let age = request.started.elapsed();
+    RelayTerms { remaining, age, attempts }.write(outgoing.headers_mut());
     outgoing
 }
--- a/crates/gw-gateway/src/entry/relay_headers.rs
+++ b/crates/gw-gateway/src/entry/relay_headers.rs
@@ -11,6 +11,8 @@
 const REMAINING: HeaderName = HeaderName::from_static("galenawheel-remaining-ms");
 /// Milliseconds since the sending host received the request.
 const AGE: HeaderName = HeaderName::from_static("galenawheel-age-ms");
+/// Number of targets that the request may still be sent to.
+const ATTEMPTS: HeaderName = HeaderName::from_static("galenawheel-attempts");
 /// Whether a target may have executed the request; absent from responses of targets.
 const OUTCOME: HeaderName = HeaderName::from_static("galenawheel-outcome");
 /// Machine-readable reason of a response that is not a target's.
@@ -25,30 +27,35 @@
 /// Reason of a host that could not establish a connection to the target.
 pub(crate) const TARGET_UNREACHABLE: &str = "target_unreachable";
 
-/// Times of a request that another entry host sends.
+/// Terms of a request that another entry host sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct RelayTimes {
+pub(crate) struct RelayTerms {
     /// How long the sender still waits for the response.
     pub(crate) remaining: Duration,
     /// How long ago the sender received the request.
     pub(crate) age: Duration,
+    /// Number of targets that the request may still be sent to.
+    pub(crate) attempts: u32,
 }
 
-impl RelayTimes {
-    /// Writes the times into the headers of a request to a relay.
+impl RelayTerms {
+    /// Writes the terms into the headers of a request to a relay.
     pub(crate) fn write(self, headers: &mut HeaderMap) {
         headers.insert(REMAINING, HeaderValue::from(milliseconds(self.remaining)));
         headers.insert(AGE, HeaderValue::from(milliseconds(self.age)));
+        headers.insert(ATTEMPTS, HeaderValue::from(self.attempts));
     }
 
-    /// Removes the times from the headers of a relayed request and returns them.
+    /// Removes the terms from the headers of a relayed request and returns them.
     pub(crate) fn take(headers: &mut HeaderMap) -> Option<Self> {
-        let mut time = |name: &HeaderName| {
-            let value = headers.remove(name)?;
-            Some(Duration::from_millis(value.to_str().ok()?.parse().ok()?))
-        };
-        let (remaining, age) = (time(&REMAINING), time(&AGE));
-        Some(Self { remaining: remaining?, age: age? })
+        let mut number = |name: &HeaderName| headers.remove(name)?.to_str().ok()?.parse().ok();
+        let (remaining, age): (Option<u64>, Option<u64>) = (number(&REMAINING), number(&AGE));
+        let attempts = number(&ATTEMPTS).and_then(|attempts| u32::try_from(attempts).ok());
+        Some(Self {
+            remaining: Duration::from_millis(remaining?),
+            age: Duration::from_millis(age?),
+            attempts: attempts?,
+        })
     }
 }
 
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -207,26 +207,10 @@
                 let refusal = LocalReply::not_executed("retry_budget", REFUSAL_RETRY_AFTER);
                 return refuse(host, request, last.unwrap_or(refusal));
             }
-            match relay(host, request, &mut slot).await {
-                Some(RelayOutcome::Ended(ForwardOutcome::Response(response))) => {
-                    return (*response, "relayed");
-                }
-                Some(RelayOutcome::Ended(ForwardOutcome::Unknown { status, reason, .. })) => {
-                    return refuse(host, request, LocalReply::outcome_unknown(status, reason));
-                }
-                Some(RelayOutcome::Refused { reason, retry_after }) => {
-                    if reason == TARGET_UNREACHABLE {
-                        host.record_unreachable_everywhere(params);
-                    }
-                    let refusal = RelayOutcome::refusal(retry_after);
-                    return refuse(host, request, last.unwrap_or(refusal));
-                }
-                Some(RelayOutcome::Ended(ForwardOutcome::NotExecuted { .. })) | None => {
-                    if host.connections.path().is_lost() {
-                        let refusal = LocalReply::not_executed(PATH_LOST, REFUSAL_RETRY_AFTER);
-                        return refuse(host, request, last.unwrap_or(refusal));
-                    }
-                }
+            let attempts = request.rule.max_attempts.max(1).saturating_sub(reached).max(1);
+            if let Some(ended) = send_through_relay(host, request, attempts, &mut slot, last).await
+            {
+                return ended;
             }
         }
         let permit = match admit(host, params, &tried).await {
@@ -295,6 +279,35 @@
     }
 }
 
+/// Sends a request through another entry host. Returns the response and the outcome for metrics;
+/// `None` if no relay is known and this host can try by itself. `last` is the reply if the request
+/// is not executed.
+async fn send_through_relay(
+    host: &Rc<EntryHost>,
+    request: &ReadRequest,
+    attempts: u32,
+    slot: &mut Option<TransferSlot>,
+    last: Option<LocalReply>,
+) -> Option<(Response<ResponseBody>, &'static str)> {
+    let refusal = match relay(host, request, attempts, slot).await {
+        Some(RelayOutcome::Response(response)) => return Some((*response, "relayed")),
+        Some(RelayOutcome::Unknown { status, reason }) => {
+            return Some(refuse(host, request, LocalReply::outcome_unknown(status, reason)));
+        }
+        Some(RelayOutcome::Refused { reason, retry_after }) => {
+            if reason == TARGET_UNREACHABLE {
+                host.record_unreachable_everywhere(&request.params);
+            }
+            LocalReply::not_executed("relay_refused", retry_after)
+        }
+        None if host.connections.path().is_lost() => {
+            LocalReply::not_executed(PATH_LOST, REFUSAL_RETRY_AFTER)
+        }
+        None => return None,
+    };
+    Some(refuse(host, request, last.unwrap_or(refusal)))
+}
+
 /// Waits until the host's link has room for a large response, if the route has such.
 async fn enter_transfer(
     host: &EntryHost,
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -131,7 +131,8 @@
             match classify_reply(host, request, permit, reply) {
                 Ok(permit) => {
                     permit.finish(answered(&head, elapsed));
-                    build_response(head, ResponseBody::Whole(body))
+                    let response = build_response(head, ResponseBody::Whole(body));
+                    ForwardOutcome::Response(Box::new(response))
                 }
                 Err(outcome) => outcome,
             }
@@ -151,7 +152,7 @@
                     );
                     let pieces = Box::new(stream);
                     let body = ResponseBody::Streamed { len, pieces, deadline: until };
-                    build_response(head, body)
+                    ForwardOutcome::Response(Box::new(build_response(head, body)))
                 }
                 Err(outcome) => outcome,
             }
@@ -380,10 +381,10 @@
     Ok(permit)
 }
 
-pub(crate) fn build_response(head: response::Parts, body: ResponseBody) -> ForwardOutcome {
+pub(crate) fn build_response(head: response::Parts, body: ResponseBody) -> Response<ResponseBody> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
     remove_hop_fields(response.headers_mut());
-    ForwardOutcome::Response(Box::new(response))
+    response
 }
