perf(gw-dispatch, gw-gateway): hosts are sent only requests that several targets crashed with

Hosts reported all suspects whenever one changed, and the leader sent all of them, up to 256, to all 285 hosts four times a second: 13.7 KB a host, 3.9 MB a round, 52 to 152 ms of the leader's time, 85 ms even in rounds without a change, since comparing copied them. With 0.3 of a core that leaves no time for heartbeats. Class: dissemination of what only one host needs, growing with the square of the fleet.

Change: hosts report what has changed; the leader sends on requests with crashes of several targets, which is what a verdict needs; comparing copies nothing.

Test: hosts_are_sent_only_requests_that_several_targets_crashed_with (8, 285 and 630 hosts).

--- a/crates/gw-dispatch/src/crash_quarantine.rs
+++ b/crates/gw-dispatch/src/crash_quarantine.rs
@@ -51,16 +51,25 @@
 struct CrashHistory {
     evidence: Vec<CrashEvidence>,
     last_crash: Timestamp,
+    /// Revision of the quarantine in which the evidence last changed.
+    revision: u64,
 }
 
 impl CrashHistory {
-    fn merge(&mut self, evidence: &CrashEvidence) {
-        match self.evidence.binary_search_by(|known| known.run.cmp(&evidence.run)) {
-            Ok(index) => self.evidence[index].merge(evidence),
-            Err(index) => self.evidence.insert(index, evidence.clone()),
-        }
+    /// Returns whether the evidence has changed.
+    fn merge(&mut self, evidence: &CrashEvidence) -> bool {
+        let index = match self.evidence.binary_search_by(|known| known.run.cmp(&evidence.run)) {
+            Ok(index) => {
+                let before = self.evidence[index].clone();
+                self.evidence[index].merge(evidence);
+                return self.evidence[index] != before;
+            }
+            Err(index) => index,
+        };
+        self.evidence.insert(index, evidence.clone());
         // Truncating a union to its smallest runs is commutative and idempotent as well.
         self.evidence.truncate(MAX_EVIDENCE);
+        index < MAX_EVIDENCE
     }
 
     fn distinct_targets(&self) -> usize {
@@ -109,12 +118,14 @@
 pub struct CrashQuarantine {
     options: QuarantineOptions,
     histories: BTreeMap<RequestFingerprint, CrashHistory>,
+    /// Number of changes of the evidence so far.
+    revision: u64,
 }
 
 impl CrashQuarantine {
     /// Creates an empty quarantine.
     pub fn new(options: QuarantineOptions) -> Self {
-        Self { options, histories: BTreeMap::new() }
+        Self { options, histories: BTreeMap::new(), revision: 0 }
     }
 
     /// Records the crash of `run` against each request that was in flight on it.
@@ -136,7 +147,11 @@
     /// Clears the evidence against a request that a target has completed.
     pub fn record_completion(&mut self, fingerprint: RequestFingerprint) {
         let Some(history) = self.histories.get_mut(&fingerprint) else { return };
-        history.evidence.iter_mut().for_each(|evidence| evidence.is_cleared = true);
+        if history.uncleared().next().is_some() {
+            history.evidence.iter_mut().for_each(|evidence| evidence.is_cleared = true);
+            self.revision += 1;
+            history.revision = self.revision;
+        }
     }
 
     /// Decides on a request that may crash `crash_limit` distinct targets before it is refused.
@@ -165,7 +180,40 @@
 
     /// Returns all current entries, to be sent to a host whose digest differs.
     pub fn entries(&self, now: Timestamp) -> Vec<QuarantineEntry> {
-        let current = self.histories.iter().filter(|(_, history)| self.is_current(now, history));
+        self.select_entries(now, |_| true)
+    }
+
+    /// Returns the number of changes of the evidence so far.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the current entries whose evidence has changed after `revision`.
+    pub fn changed_entries(&self, now: Timestamp, revision: u64) -> Vec<QuarantineEntry> {
+        self.select_entries(now, |history| history.revision > revision)
+    }
+
+    /// Returns the current entries with crashes of several targets, of which some may be cleared.
+    ///
+    /// Most requests in quarantine have shared one broken connection with others. Only a host that
+    /// merges the evidence of all hosts needs to know these.
+    pub fn repeated_entries(&self, now: Timestamp) -> Vec<QuarantineEntry> {
+        self.select_entries(now, |history| {
+            let mut targets = history.evidence.iter().map(|evidence| &evidence.run.target);
+            let first = targets.next();
+            targets.any(|target| Some(target) != first)
+        })
+    }
+
+    fn select_entries(
+        &self,
+        now: Timestamp,
+        is_wanted: impl Fn(&CrashHistory) -> bool,
+    ) -> Vec<QuarantineEntry> {
+        let current = self
+            .histories
+            .iter()
+            .filter(|(_, history)| self.is_current(now, history) && is_wanted(history));
         current
             .map(|(&fingerprint, history)| QuarantineEntry {
                 fingerprint,
@@ -209,10 +257,13 @@
         fingerprint: RequestFingerprint,
         evidence: &CrashEvidence,
     ) {
-        let empty = CrashHistory { evidence: Vec::new(), last_crash: at };
+        let empty = CrashHistory { evidence: Vec::new(), last_crash: at, revision: 0 };
         let history = self.histories.entry(fingerprint).or_insert(empty);
         history.last_crash = history.last_crash.max(at);
-        history.merge(evidence);
+        if history.merge(evidence) {
+            self.revision += 1;
+            history.revision = self.revision;
+        }
     }
 
     fn enforce_capacity(&mut self) {
--- a/crates/gw-dispatch/tests/retries_and_quarantine.rs
+++ b/crates/gw-dispatch/tests/retries_and_quarantine.rs
@@ -233,3 +233,54 @@
     quarantine.expire(end);
     assert!(quarantine.is_empty());
 }
+
+struct FleetCase {
+    hosts: u64,
+    /// Broken connections that each host reports, each with requests of its own.
+    broken_connections: u64,
+}
+
+/// Guards against a leader that sends every host the evidence of every broken connection: bytes that
+/// grow with the square of the fleet. A request that crashes targets is still refused everywhere.
+#[test]
+fn hosts_are_sent_only_requests_that_several_targets_crashed_with() {
+    let cases = [
+        FleetCase { hosts: 8, broken_connections: 4 },
+        FleetCase { hosts: 285, broken_connections: 2 },
+        FleetCase { hosts: 630, broken_connections: 1 },
+    ];
+    let now = Timestamp::from_millis(1_000);
+    let fatal = RequestFingerprint(1);
+    for FleetCase { hosts, broken_connections } in cases {
+        let options = QuarantineOptions { capacity: 10_000, ..OPTIONS };
+        let mut leader = CrashQuarantine::new(options);
+        for host in 0..hosts {
+            let mut quarantine = CrashQuarantine::new(options);
+            for broken in 0..broken_connections {
+                let number = host * broken_connections + broken;
+                let own = [2, 3].map(|turn| RequestFingerprint(u128::from(10 * number + turn)));
+                quarantine.record_crash(now, &run(100 + number % 50, 0), &own);
+            }
+            // The fatal request reaches one target through each of three hosts.
+            if host < u64::from(CRASH_LIMIT) {
+                quarantine.record_crash(now, &run(host, 0), &[fatal]);
+            }
+            let first = quarantine.changed_entries(now, 0);
+            first.iter().for_each(|entry| leader.merge(now, entry));
+            // Nothing is reported twice.
+            assert!(quarantine.changed_entries(now, quarantine.revision()).is_empty());
+        }
+        let sent = leader.repeated_entries(now);
+        let fingerprints: Vec<_> = sent.iter().map(|entry| entry.fingerprint).collect();
+        assert_eq!(fingerprints, [fatal], "{hosts} hosts");
+        let mut other = CrashQuarantine::new(options);
+        sent.iter().for_each(|entry| other.merge(now, entry));
+        assert_eq!(other.verdict(now, fatal, CRASH_LIMIT), CrashVerdict::Refused, "{hosts} hosts");
+        // What clears a request is sent as well.
+        let revision = other.revision();
+        other.record_completion(fatal);
+        assert_eq!(other.changed_entries(now, revision).len(), 1, "{hosts} hosts");
+        other.changed_entries(now, revision).iter().for_each(|entry| leader.merge(now, entry));
+        assert!(leader.repeated_entries(now)[0].evidence.iter().all(|one| one.is_cleared));
+    }
+}
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -232,7 +232,7 @@
     let (is_current, is_leader) = (host.is_current(), host.is_confirmed_leader());
     let log = host.log.borrow();
     let replicas = log.state().replicas();
-    let crashes = host.quarantine.borrow().entries(now);
+    let crashes = host.quarantine.borrow().repeated_entries(now);
     let shares = if is_leader { share_reports(host, now, log.state()) } else { Vec::new() };
     let leader = match is_leader {
         true => Some(host.own_peer_address()),
@@ -306,15 +306,16 @@
 /// Whether `details` contains nothing new for a host that has received `sent_details`. The ages of
 /// crashes are ignored.
 fn is_equivalent(sent_details: &HeadDetails, details: &HeadDetails) -> bool {
-    let crashes = |details: &HeadDetails| -> Vec<_> {
-        details.crashes.iter().map(|entry| (entry.fingerprint, entry.evidence.clone())).collect()
-    };
+    let has_same_crashes = sent_details.crashes.len() == details.crashes.len()
+        && sent_details.crashes.iter().zip(&details.crashes).all(|(sent, entry)| {
+            sent.fingerprint == entry.fingerprint && sent.evidence == entry.evidence
+        });
     sent_details.replicas == details.replicas
         && sent_details.zone_hosts == details.zone_hosts
         && sent_details.control_zones == details.control_zones
         && sent_details.leader == details.leader
         && sent_details.relays == details.relays
-        && crashes(sent_details) == crashes(details)
+        && has_same_crashes
 }
 
 /// Returns the zones of the control hosts to which this host has opened connections, and its own.
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -80,7 +80,9 @@
     fetch: StateFetch<LinkId>,
     /// Since when another control host has been known to be ahead of this host's state.
     behind_since: Option<Timestamp>,
-    quarantine_digest: u64,
+    /// Connection to the leader over which evidence of crashes was last reported, and the revision of
+    /// the quarantine that was.
+    reported_crashes: Option<(LinkId, u64)>,
     /// When the leader last reported the overloaded holders.
     shares_received_at: Timestamp,
 }
@@ -99,7 +101,7 @@
             stream: None,
             fetch: StateFetch::default(),
             behind_since: None,
-            quarantine_digest: 0,
+            reported_crashes: None,
             shares_received_at: Timestamp::ZERO,
         };
         links.dial();
@@ -353,15 +355,12 @@
         let leader = self.links.iter().filter(is_leader).max_by_key(|link| link.last_received);
         let leader = leader.map(|link| link.link.id);
         self.host.quarantine.borrow_mut().expire(now);
-        let digest = self.host.quarantine.borrow().digest(now);
-        let crashes = if digest == self.quarantine_digest {
-            Vec::new()
-        } else {
-            self.host.quarantine.borrow().entries(now)
-        };
-        if leader.is_some() {
-            self.quarantine_digest = digest;
-        }
+        // A new leader knows nothing of what was reported to the last one.
+        let reported = self.reported_crashes.filter(|(link, _)| Some(*link) == leader);
+        let quarantine = self.host.quarantine.borrow();
+        let crashes = quarantine.changed_entries(now, reported.map_or(0, |(_, revision)| revision));
+        self.reported_crashes = leader.map(|link| (link, quarantine.revision()));
+        drop(quarantine);
         let base = EntryReport {
             clock: now.as_nanos(),
             applied: self.host.applied(),
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -124,8 +124,8 @@
     pub(crate) heat: Vec<ServiceHeat>,
     /// Answered requests by target; empty unless the receiver is the leader.
     pub(crate) runs: Vec<RunReport>,
-    /// Requests that may have crashed targets; empty unless the receiver is the leader and
-    /// something has changed.
+    /// Requests that may have crashed targets, as far as something has changed since the last report
+    /// on this connection; empty unless the receiver is the leader.
     pub(crate) crashes: Vec<QuarantineEntry>,
     /// Limits that targets have named; empty unless the receiver is the leader.
     pub(crate) limits: Vec<LimitReport>,
@@ -152,7 +152,7 @@
     /// Connected entry hosts in the receiver's availability zone. Complete on the leader and on
     /// control hosts of that zone.
     pub(crate) zone_hosts: Vec<HostName>,
-    /// Requests that crash targets, merged from the reports of all entry hosts.
+    /// Requests that may have crashed several targets, merged from the reports of all entry hosts.
     pub(crate) crashes: Vec<QuarantineEntry>,
     /// Zones of the connected control hosts, by their address in `replicas`.
     pub(crate) control_zones: Vec<(SocketAddr, ZoneName)>,
