fix(gw-dispatch): a request that crashes targets is not forgotten among suspicions

The oldest was evicted first, whatever is known of it, so that a request refused after three crashes was allowed again when 64 others (the capacity in the test) had shared a broken connection.

Requests that crashed one target are evicted first now. Evidence: repeated_crashes_outlast_single_ones fails before (Clear at number 64) and passes.

--- a/crates/gw-dispatch/src/crash_quarantine.rs
+++ b/crates/gw-dispatch/src/crash_quarantine.rs
@@ -18,7 +18,9 @@
 /// Limits of a [`CrashQuarantine`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineOptions {
-    /// Maximum number of fingerprints; the one with the oldest last crash is evicted first.
+    /// Maximum number of fingerprints. Those that crashed one target are evicted first, among them
+    /// the one with the oldest last crash: on a large fleet, suspicions that nothing confirms would
+    /// otherwise replace the others within seconds.
     pub capacity: usize,
     /// How long a fingerprint stays in quarantine after its last crash.
     pub hold: Duration,
@@ -72,6 +74,13 @@
         index < MAX_EVIDENCE
     }
 
+    /// Whether several targets crashed with the request, of which some may be cleared.
+    fn is_repeated(&self) -> bool {
+        let mut targets = self.evidence.iter().map(|evidence| &evidence.run.target);
+        let first = targets.next();
+        targets.any(|target| Some(target) != first)
+    }
+
     fn distinct_targets(&self) -> usize {
         let mut targets: Vec<&TargetName> =
             self.uncleared().map(|evidence| &evidence.run.target).collect();
@@ -198,11 +207,7 @@
     /// Most requests in quarantine have shared one broken connection with others. Only a host that
     /// merges the evidence of all hosts needs to know these.
     pub fn repeated_entries(&self, now: Timestamp) -> Vec<QuarantineEntry> {
-        self.select_entries(now, |history| {
-            let mut targets = history.evidence.iter().map(|evidence| &evidence.run.target);
-            let first = targets.next();
-            targets.any(|target| Some(target) != first)
-        })
+        self.select_entries(now, CrashHistory::is_repeated)
     }
 
     fn select_entries(
@@ -268,8 +273,10 @@
 
     fn enforce_capacity(&mut self) {
         while self.histories.len() > self.options.capacity.max(1) {
-            let oldest =
-                self.histories.iter().min_by_key(|(key, history)| (history.last_crash, **key));
+            let oldest = self
+                .histories
+                .iter()
+                .min_by_key(|(key, history)| (history.is_repeated(), history.last_crash, **key));
             let Some((&fingerprint, _)) = oldest else { return };
             self.histories.remove(&fingerprint);
         }
--- a/crates/gw-dispatch/tests/retries_and_quarantine.rs
+++ b/crates/gw-dispatch/tests/retries_and_quarantine.rs
@@ -284,3 +284,21 @@
         assert!(leader.repeated_entries(now)[0].evidence.iter().all(|one| one.is_cleared));
     }
 }
+
+/// Guards against a request that crashes targets and is forgotten because many other requests have
+/// shared a broken connection since.
+#[test]
+fn repeated_crashes_outlast_single_ones() {
+    let fatal = RequestFingerprint(0);
+    let mut quarantine = CrashQuarantine::new(OPTIONS);
+    for target in 0..u64::from(CRASH_LIMIT) {
+        quarantine.record_crash(Timestamp::from_millis(target), &run(target, 0), &[fatal]);
+    }
+    for number in 1..10 * OPTIONS.capacity as u64 {
+        let now = Timestamp::from_millis(10 + number);
+        let other = RequestFingerprint(u128::from(number));
+        quarantine.record_crash(now, &run(number % 7, 0), &[other]);
+        assert!(quarantine.len() <= OPTIONS.capacity);
+        assert_eq!(quarantine.verdict(now, fatal, CRASH_LIMIT), CrashVerdict::Refused, "{number}");
+    }
+}
