--- a/crates/gw-balance/src/path_monitor.rs
+++ b/crates/gw-balance/src/path_monitor.rs
@@ -45,6 +45,7 @@
 
     /// Records that no connection to `address` could be opened.
     pub fn record_unreachable(&mut self, now: Timestamp, address: SocketAddr) {
+        self.failures.retain(|(_, failed_at)| now.since(*failed_at) < MAX_FAILURE_AGE);
         match self.failures.binary_search_by(|(known, _)| known.cmp(&address)) {
             Ok(index) => self.failures[index].1 = now,
             Err(position) => self.failures.insert(position, (address, now)),
