refactor(gw-gateway): one rule for pooled connections of requests to targets and relays

How long a connection may have been idle was written for targets and again for relays, and whether an idle one is open twice in the pool. No change of behaviour.

--- a/crates/gw-gateway/src/entry/relay_attempt.rs
+++ b/crates/gw-gateway/src/entry/relay_attempt.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use gw_balance::AttemptOutcome;
-use gw_routing::RepeatRule;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -21,10 +20,10 @@
 use crate::entry::relay_headers::RelayRefusal;
 use crate::entry::relay_headers::RelayTerms;
 use crate::entry::relay_headers::TARGET_UNREACHABLE;
-use crate::entry::target_attempt::MAX_IDLE_AT_MOST_ONCE;
 use crate::entry::target_attempt::MAX_WHOLE_BYTES;
 use crate::entry::target_attempt::build_response;
 use crate::entry::target_attempt::copy_request;
+use crate::entry::target_attempt::max_idle;
 use crate::entry::transfer_gate::TransferSlot;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
@@ -80,12 +79,8 @@
     if remaining.is_zero() {
         return refused("too_late", MOVE_RETRY_AFTER);
     }
-    let max_idle = match request.rule.repeat {
-        _ if request.metadata.request_id.is_none() => Duration::ZERO,
-        RepeatRule::Idempotent | RepeatRule::UntilFirstByte => Duration::MAX,
-        RepeatRule::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
-    };
-    let options = ExchangeOptions { deadline, max_idle, max_whole_bytes: MAX_WHOLE_BYTES };
+    let options =
+        ExchangeOptions { deadline, max_idle: max_idle(request), max_whole_bytes: MAX_WHOLE_BYTES };
     let outgoing = build_request(request, remaining, attempts);
     let end = host.relays.connections().exchange(address, outgoing, &options, || true).await;
     match end {
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -38,7 +38,7 @@
 /// Longest idle time of a pooled connection that may carry an at-most-once request. A connection
 /// that was idle for longer may have become unresponsive, and the outcome of a request written to
 /// it would be unknown.
-pub(crate) const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_secs(1);
+const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_secs(1);
 
 /// Largest response, in bytes, that is read completely before it is forwarded: until then a failure
 /// can be repaired by another attempt. A larger one is forwarded as it arrives.
@@ -90,14 +90,10 @@
     let (holder, address) = (permit.holder.clone(), permit.address);
     let outgoing = build_request(host, request, &holder.target, remaining);
     let in_flight = InFlightGuard::start(host, &permit, request.fingerprint);
-    let max_idle = match request.rule.repeat {
-        // On a connection that was used before, a late second copy of an earlier response could not
-        // be told from the response to this request.
-        _ if request.metadata.request_id.is_none() => Duration::ZERO,
+    let max_idle = match was_refused {
         // A second copy of the refusal would carry the id of this attempt.
-        _ if was_refused => Duration::ZERO,
-        RepeatRule::Idempotent | RepeatRule::UntilFirstByte => Duration::MAX,
-        RepeatRule::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
+        true => Duration::ZERO,
+        false => max_idle(request),
     };
     let max_whole_bytes = match request.rule.repeat {
         RepeatRule::UntilFirstByte => MAX_WHOLE_DOWNLOAD_BYTES,
@@ -233,6 +229,17 @@
     outgoing
 }
 
+/// Returns the longest idle time of a pooled connection that may carry the request.
+pub(crate) fn max_idle(request: &ReadRequest) -> Duration {
+    match request.rule.repeat {
+        // On a connection that was used before, a late second copy of an earlier response could not
+        // be told from the response to this request.
+        _ if request.metadata.request_id.is_none() => Duration::ZERO,
+        RepeatRule::Idempotent | RepeatRule::UntilFirstByte => Duration::MAX,
+        RepeatRule::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
+    }
+}
+
 /// Returns a request to another server, with the caller's headers that are not about one
 /// connection.
 pub(crate) fn copy_request(request: &ReadRequest) -> Request<Full<Bytes>> {
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -65,6 +65,12 @@
     usable_until: Instant,
 }
 
+impl IdleConnection {
+    fn is_open(&self, now: Instant) -> bool {
+        self.usable_until > now && !self.connection.sender.is_closed()
+    }
+}
+
 /// A response of which the head has arrived.
 struct ReceivedHead {
     response: Response<Incoming>,
@@ -111,7 +117,7 @@
     fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<TargetConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|pooled| pooled.usable_until > now && !pooled.connection.sender.is_closed());
+        idle.retain(|pooled| pooled.is_open(now));
         let is_usable = |pooled: &IdleConnection| {
             pooled.address == address && now.duration_since(pooled.idle_since) < max_idle
         };
@@ -276,11 +282,8 @@
     /// Whether a connection to `address` is open and idle.
     pub(crate) fn has_idle(&self, address: SocketAddr) -> bool {
         let now = Instant::now();
-        self.idle.borrow().iter().any(|pooled| {
-            pooled.address == address
-                && pooled.usable_until > now
-                && !pooled.connection.sender.is_closed()
-        })
+        let idle = self.idle.borrow();
+        idle.iter().any(|pooled| pooled.address == address && pooled.is_open(now))
     }
 
     /// Closes all idle connections.
