refactor(gw-ranges, gw-balance, gw-gateway): no state that follows from other state

AcceptanceEstimator kept the time of the last refusal twice; PathMonitor dropped old failures when asked as well as when recording; an entry host selected and copied evidence of crashes also while it knows no leader. No change of behaviour.

--- a/crates/gw-balance/src/lib.rs
+++ b/crates/gw-balance/src/lib.rs
@@ -4,7 +4,9 @@
 //! host's own requests: response times, requests in flight and failures. [`HolderThrottle`] limits
 //! the requests to overloaded holders of keys. [`RequestQueue`] holds requests that wait for a free
 //! target, most urgent first. [`LinkPacer`] and [`TransferLoad`] keep large responses from filling
-//! the host's link. [`PathMonitor`] tells whether the host has lost its path to targets. The crate does no I/O and reads no clock: callers pass in the current time.
+//! the host's link. [`PathMonitor`] tells whether the host has lost its path to targets, and
+//! [`RelayTable`] and [`RelayPool`] choose the hosts that forward its requests meanwhile. The crate
+//! does no I/O and reads no clock: callers pass in the current time.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
--- a/crates/gw-balance/src/path_monitor.rs
+++ b/crates/gw-balance/src/path_monitor.rs
@@ -69,8 +69,10 @@
     }
 
     /// Whether connections should be opened to find out if the path is intact.
-    pub fn needs_probe(&mut self, now: Timestamp) -> bool {
-        self.failures.retain(|(_, failed_at)| now.since(*failed_at) < MAX_FAILURE_AGE);
-        self.is_lost || self.is_silent(now) || self.failures.len() >= SUSPECT_TARGETS
+    pub fn needs_probe(&self, now: Timestamp) -> bool {
+        let is_recent =
+            |(_, failed_at): &&(SocketAddr, Timestamp)| now.since(*failed_at) < MAX_FAILURE_AGE;
+        let failed = self.failures.iter().filter(is_recent).count();
+        self.is_lost || self.is_silent(now) || failed >= SUSPECT_TARGETS
     }
 }
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -5,6 +5,7 @@
 use gw_balance::AnsweredRequests;
 use gw_balance::PreferredTargets;
 use gw_balance::RelayPeer;
+use gw_dispatch::QuarantineEntry;
 use gw_fleet::ControlChoice;
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
@@ -355,12 +356,7 @@
         let leader = self.links.iter().filter(is_leader).max_by_key(|link| link.last_received);
         let leader = leader.map(|link| link.link.id);
         self.host.quarantine.borrow_mut().expire(now);
-        // A new leader knows nothing of what was reported to the last one.
-        let reported = self.reported_crashes.filter(|(link, _)| Some(*link) == leader);
-        let quarantine = self.host.quarantine.borrow();
-        let crashes = quarantine.changed_entries(now, reported.map_or(0, |(_, revision)| revision));
-        self.reported_crashes = leader.map(|link| (link, quarantine.revision()));
-        drop(quarantine);
+        let mut crashes = self.take_crashes(now, leader);
         let base = EntryReport {
             clock: now.as_nanos(),
             applied: self.host.applied(),
@@ -383,7 +379,7 @@
                 let runs = self.take_answered();
                 let limits = LimitReport::of(now, &self.host.named_limits.borrow());
                 let leaving = self.host.pool.borrow().leaving();
-                let crashes = crashes.clone();
+                let crashes = std::mem::take(&mut crashes);
                 EntryReport { heat, runs, crashes, limits, leaving, ..base.clone() }
             } else {
                 base.clone()
@@ -392,6 +388,16 @@
         }
     }
 
+    /// Returns the evidence of crashes that was not reported over this connection to the leader yet.
+    /// A new leader knows nothing of what was reported to the last one.
+    fn take_crashes(&mut self, now: Timestamp, leader: Option<LinkId>) -> Vec<QuarantineEntry> {
+        let quarantine = self.host.quarantine.borrow();
+        let reported = self.reported_crashes.take().filter(|(link, _)| Some(*link) == leader);
+        let Some(leader) = leader else { return Vec::new() };
+        self.reported_crashes = Some((leader, quarantine.revision()));
+        quarantine.changed_entries(now, reported.map_or(0, |(_, revision)| revision))
+    }
+
     fn take_request_counts(&self) -> Vec<ServiceHeat> {
         let mut reports: Vec<ServiceHeat> = Vec::new();
         for ((service, key), count) in std::mem::take(&mut *self.host.request_counts.borrow_mut()) {
--- a/crates/gw-ranges/src/acceptance_estimator.rs
+++ b/crates/gw-ranges/src/acceptance_estimator.rs
@@ -18,7 +18,6 @@
 pub struct AcceptanceEstimator {
     /// Decayed number of requests that were turned away.
     turned_away: f64,
-    updated_at: Timestamp,
     /// Ends of the rests that are not over, one for each resting host.
     rests: Vec<Timestamp>,
     /// When a request was last turned away; `None` if none ever was.
@@ -44,9 +43,8 @@
         if !self.is_recent(now) {
             self.lowest = 1.0;
         }
-        self.turned_away *= decay(now.since(self.updated_at), HALF_LIFE);
-        self.turned_away += f64::from(requests);
-        self.updated_at = now;
+        let age = self.last_refusal.map_or(Duration::ZERO, |at| now.since(at));
+        self.turned_away = self.turned_away * decay(age, HALF_LIFE) + f64::from(requests);
         self.last_refusal = Some(now);
         self.rests.retain(|end| *end > now);
         self.rests.push(now + rest);
