perf(gw-balance): relays are chosen without a list of all hosts for each host

The leader chooses relays for every host in each round of heads, and copied references to all hosts for each: work that grows with the square of the fleet. Positions follow from the sorted table.

--- a/crates/gw-balance/src/relay_table.rs
+++ b/crates/gw-balance/src/relay_table.rs
@@ -42,23 +42,21 @@
     pub fn choose(&self, host: &HostName, zone: &ZoneName) -> Vec<RelayHost> {
         let start = self.hosts.partition_point(|relay| relay.zone < *zone);
         let end = self.hosts.partition_point(|relay| relay.zone <= *zone);
-        let own: Vec<&RelayHost> =
-            self.hosts[start..end].iter().filter(|relay| relay.host != *host).collect();
-        let others: Vec<&RelayHost> =
-            self.hosts[..start].iter().chain(&self.hosts[end..]).collect();
+        let own = &self.hosts[start..end];
         let next = own.partition_point(|relay| relay.host < *host);
-        let hash = KeyHash::of(host.as_str().as_bytes()).0 as usize;
-        let mut chosen = pick(&own, next, 1, OWN_ZONE_RELAYS);
+        let is_listed = own.get(next).is_some_and(|relay| relay.host == *host);
+        let first = next + usize::from(is_listed);
+        let own_count = OWN_ZONE_RELAYS.min(own.len() - usize::from(is_listed));
+        let own_zone = (first..).take(own_count).map(|turn| &own[turn % own.len()]);
+        let other = |position: usize| {
+            &self.hosts[if position < start { position } else { position + own.len() }]
+        };
+        let other_len = self.hosts.len() - own.len();
         // Wide steps through the list reach several zones.
-        let step = (others.len() / OTHER_ZONE_RELAYS).max(1);
-        chosen.extend(pick(&others, hash, step, OTHER_ZONE_RELAYS));
-        chosen
+        let step = (other_len / OTHER_ZONE_RELAYS).max(1);
+        let hash = KeyHash::of(host.as_str().as_bytes()).0 as usize;
+        let others = (0..OTHER_ZONE_RELAYS.min(other_len))
+            .map(|turn| other((hash % other_len + turn * step) % other_len));
+        own_zone.chain(others).cloned().collect()
     }
 }
-
-fn pick(hosts: &[&RelayHost], first: usize, step: usize, most: usize) -> Vec<RelayHost> {
-    let count = hosts.len().min(most);
-    (0..count)
-        .map(|turn| hosts[(first % hosts.len() + turn * step) % hosts.len()].clone())
-        .collect()
-}
