refactor(gw-fleet, gw-balance, gw-gateway): one look-up of a target's present run

The leader counts entry hosts only for reports of targets that ask for rest: it did so for each report of each host. No change of behaviour.

--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -143,6 +143,11 @@
         found.ok().map(|index| &self.targets[index])
     }
 
+    /// Returns the target that `holder` is a run of, if that run is the present one.
+    pub fn live_target(&self, holder: &RangeHolder) -> Option<&TargetView> {
+        self.target(&holder.target).filter(|target| target.record.run == holder.run)
+    }
+
     /// Returns all targets, sorted by name.
     pub fn targets(&self) -> &[TargetView] {
         &self.targets
@@ -249,10 +254,8 @@
 
     /// Returns whether the holder of a key can accept a request from this host.
     pub fn holder_availability(&self, now: Timestamp, holder: &RangeHolder) -> HolderAvailability {
-        let Some(target) = self.target(&holder.target) else { return HolderAvailability::Unknown };
-        if target.record.run != holder.run || target.has_ended() {
-            return HolderAvailability::Unknown;
-        }
+        let live = self.live_target(holder).filter(|target| !target.has_ended());
+        let Some(target) = live else { return HolderAvailability::Unknown };
         if target.draining_since.is_some_and(|since| now.since(since) > DRAIN_GRACE_PERIOD) {
             return HolderAvailability::Unknown;
         }
@@ -299,7 +302,7 @@
     /// Returns whether connections of this host to a holder of keys failed last, though it accepts
     /// new requests.
     pub fn is_holder_unreachable(&self, now: Timestamp, holder: &RangeHolder) -> bool {
-        let target = self.target(&holder.target).filter(|target| target.record.run == holder.run);
+        let target = self.live_target(holder);
         target.is_some_and(|target| !target.has_ended() && target.is_unreachable(now))
     }
 
--- a/crates/gw-fleet/src/fleet_state.rs
+++ b/crates/gw-fleet/src/fleet_state.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 
 use gw_ranges::RangeCommand;
+use gw_ranges::RangeHolder;
 use gw_ranges::RangeTable;
 use gw_routing::ConfigPatch;
 use gw_routing::ConfigVersion;
@@ -235,6 +236,11 @@
         found.ok().map(|index| &self.targets[index])
     }
 
+    /// Returns the target that `holder` is a run of, if that run is the present one.
+    pub fn live_target(&self, holder: &RangeHolder) -> Option<&TargetRecord> {
+        self.target(&holder.target).filter(|target| target.run == holder.run)
+    }
+
     /// Returns the most recently removed targets, in order of removal.
     pub fn departed(&self) -> &[DepartedTarget] {
         &self.departed
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -258,11 +258,8 @@
             return;
         }
         for holder in leaving {
-            let known = self.log.borrow().state().target(&holder.target).cloned();
-            let is_news = |known: &TargetRecord| {
-                known.run == holder.run && known.phase == TargetPhase::Serving
-            };
-            if let Some(known) = known.filter(is_news) {
+            let known = self.log.borrow().state().live_target(holder).cloned();
+            if let Some(known) = known.filter(|known| known.phase == TargetPhase::Serving) {
                 log::info!("event=target_leaving target={holder} source={source}");
                 let record = TargetRecord { phase: TargetPhase::Draining, ..known };
                 self.propose(FleetCommand::PutTarget(record));
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -198,11 +198,14 @@
         known.clock = Some((report.clock, now));
         known.takes_relays = report.takes_relays;
     });
-    let host_count = host.links.borrow().iter().filter(|link| link.is_entry()).count();
     let mut monitor = host.monitor.borrow_mut();
     let log = host.log.borrow();
     for answered in &report.runs {
-        monitor.record_answered(now, log.state(), answered, host_count);
+        if answered.rests > 0 {
+            let host_count = host.links.borrow().iter().filter(|link| link.is_entry()).count();
+            monitor.record_turned_away(now, log.state(), answered, host_count);
+        }
+        monitor.record_answered(now, log.state(), answered);
     }
     for limit in &report.limits {
         if monitor.record_limit(limit.received(now)) {
--- a/crates/gw-gateway/src/control/target_monitor.rs
+++ b/crates/gw-gateway/src/control/target_monitor.rs
@@ -92,31 +92,40 @@
         }
     }
 
-    /// Records requests that a target answered or turned away, as reported by one of `host_count`
-    /// entry hosts.
+    /// Records requests that a target answered, as reported by an entry host.
     pub(crate) fn record_answered(
         &mut self,
         now: Timestamp,
         state: &FleetState,
         report: &RunReport,
-        host_count: usize,
     ) {
         self.record_contact(now, &report.holder.target);
-        let target = state.target(&report.holder.target);
-        let Some(target) = target.filter(|target| target.run == report.holder.run) else { return };
-        let estimator = self.estimators.entry(report.holder.clone()).or_default();
-        if report.rests > 0 {
-            let rest = Duration::from_millis(u64::from(report.rest_millis));
-            let answered = estimator.recent_requests(now);
-            let acceptance = self.acceptance.entry(report.holder.clone()).or_default();
-            acceptance.record_turned_away(now, report.rests, rest, host_count, answered);
-        }
+        let Some(target) = state.live_target(&report.holder) else { return };
         if report.runs > 0 {
             let total = Duration::from_millis(u64::from(report.milliseconds));
+            let estimator = self.estimators.entry(report.holder.clone()).or_default();
             estimator.record(now, report.runs, total, target.work_slots);
         }
     }
 
+    /// Records requests that a target turned away, as reported by one of `host_count` entry hosts.
+    pub(crate) fn record_turned_away(
+        &mut self,
+        now: Timestamp,
+        state: &FleetState,
+        report: &RunReport,
+        host_count: usize,
+    ) {
+        if state.live_target(&report.holder).is_none() {
+            return;
+        }
+        let rest = Duration::from_millis(u64::from(report.rest_millis));
+        let estimator = self.estimators.get(&report.holder);
+        let answered = estimator.map_or(0.0, |estimator| estimator.recent_requests(now));
+        let acceptance = self.acceptance.entry(report.holder.clone()).or_default();
+        acceptance.record_turned_away(now, report.rests, rest, host_count, answered);
+    }
+
     /// Records what a target said to an entry host about the rate of requests that it takes. Returns
     /// whether its limit has changed.
     pub(crate) fn record_limit(&mut self, limit: TargetLimit) -> bool {
@@ -146,15 +155,9 @@
     /// Drops records of targets and runs that are not in the replicated state.
     pub(crate) fn retain_registered(&mut self, now: Timestamp, state: &FleetState) {
         self.contacts.retain(|name, _| state.target(name).is_some());
-        self.estimators.retain(|holder, _| {
-            state.target(&holder.target).is_some_and(|target| target.run == holder.run)
-        });
-        self.acceptance.retain(|holder, _| {
-            state.target(&holder.target).is_some_and(|target| target.run == holder.run)
-        });
-        self.limits.expire(now, |holder| {
-            state.target(&holder.target).is_some_and(|target| target.run == holder.run)
-        });
+        self.estimators.retain(|holder, _| state.live_target(holder).is_some());
+        self.acceptance.retain(|holder, _| state.live_target(holder).is_some());
+        self.limits.expire(now, |holder| state.live_target(holder).is_some());
     }
 
     /// Returns the target runs that hold, or may be given, keys of `service`, sorted by holder.
@@ -211,7 +214,7 @@
         state: &FleetState,
         holder: &RangeHolder,
     ) -> Option<f64> {
-        let target = state.target(&holder.target).filter(|target| target.run == holder.run)?;
+        let target = state.live_target(holder)?;
         Some(f64::from(target.work_slots.max(1)) / self.processing_time(now, target)?)
     }
 
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -233,9 +233,10 @@
 
     /// Acts on a change of this host's path to targets.
     pub(crate) fn update_path(&self) {
-        let path = self.connections.path().clone();
-        let is_lost = path.is_lost();
-        let is_silent = is_lost && path.is_silent(self.now());
+        let (is_lost, is_silent) = {
+            let path = self.connections.path();
+            (path.is_lost(), path.is_lost() && path.is_silent(self.now()))
+        };
         self.is_path_silent.send_replace(is_silent);
         if is_silent {
             self.connections.close_all_idle();
@@ -427,9 +428,7 @@
         let now = self.now();
         let mut pool = self.pool.borrow_mut();
         for table in [&self.named_limits, &self.limits] {
-            table.borrow_mut().expire(now, |holder| {
-                pool.target(&holder.target).is_some_and(|target| target.record.run == holder.run)
-            });
+            table.borrow_mut().expire(now, |holder| pool.live_target(holder).is_some());
         }
         let host_count = self.sharing_hosts.get().peak().unwrap_or(UNKNOWN_HOST_COUNT);
         pool.set_limits(now, &self.limits.borrow(), host_count);
