--- a/review/stand_ins/common.rs
+++ b/review/stand_ins/common.rs
@@ -360,6 +360,8 @@
 pub fn run_case(play: impl FnOnce(&Record) -> i32 + Send + 'static) -> ! {
     let folder = std::env::args().nth(1).map_or_else(|| PathBuf::from("."), PathBuf::from);
     let record = Record::create(&folder);
+    let with = if has_trouble() { "with" } else { "without" };
+    record.say(format!("played {with} the disruption"));
     let shared = record.clone();
     let playing = thread::spawn(move || play(&shared));
     let start = Instant::now();
