feat(gw-fleet, gw-gateway): hosts state the version of their messages; evacuations in the state

Cause: no message between hosts and no record on disk carried a version, so that hosts of two builds could misread each other while machines are upgraded one after the other. Change: the first message of a connection ends with the sender's version, which earlier builds ignore. New messages and commands are sent only to hosts that can read them; the fleet state keeps its encoding and has additions behind it. The commands and the state of evacuated zones are the first that need this; no call leads to them yet.

--- a/crates/gw-fleet/src/fleet_command.rs
+++ b/crates/gw-fleet/src/fleet_command.rs
@@ -5,13 +5,16 @@
 use gw_routing::ConfigVersion;
 use gw_types::HostId;
 use gw_types::TargetName;
+use gw_types::ZoneName;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::DepartureCause;
+use crate::FormatVersion;
 use crate::ReplicaRecord;
 use crate::StoredConfig;
 use crate::TargetRecord;
+use crate::ZoneEvacuation;
 
 /// A command of the control log that changes the fleet state.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -51,6 +54,23 @@
     /// Applies a patch to the configuration. Sent only to entry hosts, in place of
     /// [`FleetCommand::SetConfig`].
     PatchConfig(ConfigPatch),
+    /// Requests that the targets of a zone get no requests.
+    StartEvacuation(ZoneEvacuation),
+    /// Withdraws the evacuation of a zone.
+    EndEvacuation {
+        /// The zone.
+        zone: ZoneName,
+    },
+}
+
+impl FleetCommand {
+    /// Returns the oldest version that can read the command.
+    pub fn format(&self) -> FormatVersion {
+        match self {
+            Self::StartEvacuation(_) | Self::EndEvacuation { .. } => FormatVersion::EVACUATIONS,
+            _ => FormatVersion::UNSTATED,
+        }
+    }
 }
 
 /// Result of applying a command.
--- a/crates/gw-fleet/src/fleet_state.rs
+++ b/crates/gw-fleet/src/fleet_state.rs
@@ -10,6 +10,7 @@
 use gw_types::HostId;
 use gw_types::ServiceName;
 use gw_types::TargetName;
+use gw_types::ZoneName;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -17,10 +18,13 @@
 use crate::DepartureCause;
 use crate::FleetCommand;
 use crate::FleetOutcome;
+use crate::FormatVersion;
 use crate::ReplicaRecord;
 use crate::StoredConfig;
 use crate::TargetPhase;
 use crate::TargetRecord;
+use crate::ZoneEvacuation;
+use crate::state_additions::StateAdditions;
 
 /// Number of departed targets kept. Exceeds the number that can leave while a late announcement is
 /// still in transit.
@@ -48,6 +52,9 @@
     tables: Vec<(ServiceName, RangeTable)>,
     /// Highest fencing token assigned so far, over all services. Never decreases.
     last_fence: u64,
+    /// Not part of the serialized form, which earlier builds read; see [`FleetState::snapshot`].
+    #[serde(skip)]
+    additions: StateAdditions,
 }
 
 impl FleetState {
@@ -75,6 +82,8 @@
                 self.remove_target(name, *run, *cause)
             }
             FleetCommand::ChangeRanges(change) => self.change_ranges(change),
+            FleetCommand::StartEvacuation(evacuation) => self.start_evacuation(evacuation),
+            FleetCommand::EndEvacuation { zone } => self.end_evacuation(zone),
         }
     }
 
@@ -191,6 +200,30 @@
         if is_changed { FleetOutcome::Applied } else { FleetOutcome::Superseded }
     }
 
+    fn start_evacuation(&mut self, evacuation: &ZoneEvacuation) -> FleetOutcome {
+        match self.find_evacuation(&evacuation.zone) {
+            Ok(_) => FleetOutcome::Superseded,
+            Err(position) => {
+                self.additions.evacuations.insert(position, evacuation.clone());
+                FleetOutcome::Applied
+            }
+        }
+    }
+
+    fn end_evacuation(&mut self, zone: &ZoneName) -> FleetOutcome {
+        match self.find_evacuation(zone) {
+            Ok(index) => {
+                self.additions.evacuations.remove(index);
+                FleetOutcome::Applied
+            }
+            Err(_) => FleetOutcome::Superseded,
+        }
+    }
+
+    fn find_evacuation(&self, zone: &ZoneName) -> Result<usize, usize> {
+        self.additions.evacuations.binary_search_by(|known| known.zone.cmp(zone))
+    }
+
     fn table_mut(&mut self, service: &ServiceName) -> &mut RangeTable {
         let found = self.tables.binary_search_by(|(name, _)| name.cmp(service));
         let index = found.unwrap_or_else(|position| {
@@ -252,19 +285,41 @@
         found.ok().map(|index| &self.tables[index].1)
     }
 
+    /// Returns the zones whose targets are to get no requests, sorted by zone.
+    pub fn evacuations(&self) -> &[ZoneEvacuation] {
+        &self.additions.evacuations
+    }
+
+    /// Returns whether the targets of `zone` are to get no requests.
+    pub fn is_evacuated(&self, zone: &ZoneName) -> bool {
+        self.find_evacuation(zone).is_ok()
+    }
+
+    /// Returns the oldest version that can represent the whole state.
+    pub fn format(&self) -> FormatVersion {
+        self.additions.format()
+    }
+
     /// Returns the state for entry hosts, without the document of the configuration.
     pub fn for_entry_hosts(&self) -> Self {
         let config = self.config.as_ref().map(StoredConfig::without_document);
         Self { config, ..self.clone() }
     }
 
-    /// Encodes the state.
+    /// Encodes the state: the part that all builds know, followed by additions, which earlier builds
+    /// ignore.
     pub fn snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
-        Ok(postcard::to_stdvec(self)?)
+        let bytes = postcard::to_stdvec(self)?;
+        Ok(postcard::to_extend(&self.additions, bytes)?)
     }
 
-    /// Decodes a snapshot of [`FleetState::snapshot`].
+    /// Decodes a snapshot of [`FleetState::snapshot`], also one of an earlier build, which ends
+    /// without additions.
     pub fn restore(bytes: &[u8]) -> Result<Self, SnapshotError> {
-        Ok(postcard::from_bytes(bytes)?)
+        let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if !rest.is_empty() {
+            state.additions = postcard::from_bytes(rest)?;
+        }
+        Ok(state)
     }
 }
--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -115,6 +115,8 @@
     let (sender, receiver) = oneshot::channel();
     if host.is_leader() {
         host.propose_as_leader(&command, ReplySink::Local(sender));
+    } else if host.leader_link().is_some_and(|link| !link.supports(command.format())) {
+        return Err(ControlReply::Unavailable { reason: "the leader is of an earlier build" });
     } else {
         ask_leader(host, sender, |call| LinkMessage::Propose { call, command })?;
     }
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -240,7 +240,7 @@
         let log = self.log.borrow();
         for link in self.links.borrow_mut().iter_mut().filter(|link| link.is_streaming) {
             if link.sent_through < log.applied() {
-                link.link.send(&log.since(link.sent_through));
+                link.link.send(&log.since(link.sent_through, link.link.version()));
                 link.sent_through = log.applied();
             }
         }
--- a/crates/gw-gateway/src/control/fleet_log.rs
+++ b/crates/gw-gateway/src/control/fleet_log.rs
@@ -3,6 +3,7 @@
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
 use gw_fleet::FleetState;
+use gw_fleet::FormatVersion;
 use gw_routing::ConfigPatch;
 use gw_routing::RoutingConfig;
 
@@ -63,20 +64,32 @@
         Some(outcome)
     }
 
-    /// Returns the message that updates an entry host from index `after`: the commands since, or
-    /// the whole state if they are no longer kept.
-    pub(crate) fn since(&self, after: u64) -> LinkMessage {
+    /// Returns the message that updates an entry host of version `version` from index `after`: the
+    /// commands since that it can read, or the whole state if they are no longer kept.
+    pub(crate) fn since(&self, after: u64, version: FormatVersion) -> LinkMessage {
         if after >= self.applied {
             return LinkMessage::Updates { after, through: after, commands: Vec::new() };
         }
         if after < self.base || after == 0 {
-            let state = Box::new(self.state.for_entry_hosts());
-            return LinkMessage::Snapshot { index: self.applied, state };
+            return self.complete_state(version);
         }
         let first = self.recent.partition_point(|(index, _)| *index <= after);
-        let commands = self.recent.range(first..).cloned().collect();
+        let readable =
+            self.recent.range(first..).filter(|(_, command)| command.format() <= version);
+        let commands = readable.cloned().collect();
         LinkMessage::Updates { after, through: self.applied, commands }
     }
+
+    fn complete_state(&self, version: FormatVersion) -> LinkMessage {
+        let (index, state) = (self.applied, self.state.for_entry_hosts());
+        if version >= FormatVersion::EVACUATIONS {
+            match state.snapshot() {
+                Ok(state) => return LinkMessage::EncodedState { index, state },
+                Err(error) => log::error!("event=state_not_encoded cause=\"{error}\""),
+            }
+        }
+        LinkMessage::Snapshot { index, state: Box::new(state) }
+    }
 }
 
 /// Returns the form of a command that is sent to entry hosts, or `None` if it does not concern
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -172,7 +172,7 @@
             }
             LinkMessage::Fetch { after, stream } => {
                 let log = host.log.borrow();
-                link.send(&log.since(after));
+                link.send(&log.since(after, link.version()));
                 let sent_through = log.applied();
                 update_link(host, &link, |known| {
                     known.is_streaming = stream;
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -197,8 +197,19 @@
             .for_each(|reply_to| reply_to.send(CallResult::Failed(failure)));
     }
 
+    /// Whether all connected hosts can read a command. A replica that cannot would skip it.
+    fn is_readable_by_all(&self, command: &FleetCommand) -> bool {
+        let links = self.links.borrow();
+        links.iter().all(|link| link.hello.is_none() || link.link.supports(command.format()))
+    }
+
     /// Appends a command to the log as leader. The outcome goes to `reply_to` once it is committed.
     pub(crate) fn propose_as_leader(&self, command: &FleetCommand, reply_to: ReplySink) {
+        if !self.is_readable_by_all(command) {
+            log::warn!("event=proposal_refused cause=\"a host of an earlier build is connected\"");
+            reply_to.send(CallResult::Failed(CallFailure::Unavailable));
+            return;
+        }
         let now = self.now();
         let proposed = {
             let mut slot = self.replica.borrow_mut();
@@ -288,5 +299,12 @@
         FleetCommand::ChangeRanges(change) => {
             log::info!("event=ranges_changed index={index} outcome={outcome:?} change={change:?}");
         }
+        FleetCommand::StartEvacuation(evacuation) => log::info!(
+            "event=evacuation_started index={index} zone={} outcome={outcome:?}",
+            evacuation.zone,
+        ),
+        FleetCommand::EndEvacuation { zone } => {
+            log::info!("event=evacuation_ended index={index} zone={zone} outcome={outcome:?}");
+        }
     }
 }
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -7,6 +7,7 @@
 use gw_balance::RelayPeer;
 use gw_dispatch::QuarantineEntry;
 use gw_fleet::ControlChoice;
+use gw_fleet::FleetState;
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
@@ -198,6 +199,16 @@
                 self.host.install_snapshot(index, *state);
                 self.check_progress();
             }
+            LinkMessage::EncodedState { index, state } => {
+                self.fetch.finish(link.id);
+                match FleetState::restore(&state) {
+                    Ok(state) => self.host.install_snapshot(index, state),
+                    Err(error) => {
+                        log::error!("event=state_not_read index={index} cause=\"{error}\"")
+                    }
+                }
+                self.check_progress();
+            }
             LinkMessage::RunOrder { call, order, address, send_before } => {
                 let send_before = Timestamp::from_nanos(send_before);
                 let host = self.host.clone();
--- a/crates/gw-gateway/src/link/link_handle.rs
+++ b/crates/gw-gateway/src/link/link_handle.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use gw_fleet::FormatVersion;
 use gw_types::Timestamp;
 use tokio::sync::mpsc;
 
@@ -14,12 +15,26 @@
     pub(crate) id: LinkId,
     /// When the connection last delivered data.
     pub(crate) last_byte: Rc<Cell<Timestamp>>,
+    /// Version that the other host has stated in its first message.
+    pub(super) version: Rc<Cell<FormatVersion>>,
     frames: Rc<mpsc::Sender<Bytes>>,
 }
 
 impl LinkHandle {
     pub(crate) fn new(id: LinkId, opened_at: Timestamp, frames: mpsc::Sender<Bytes>) -> Self {
-        Self { id, last_byte: Rc::new(Cell::new(opened_at)), frames: Rc::new(frames) }
+        let last_byte = Rc::new(Cell::new(opened_at));
+        let version = Rc::new(Cell::new(FormatVersion::UNSTATED));
+        Self { id, last_byte, version, frames: Rc::new(frames) }
+    }
+
+    /// Returns the version of the other host; [`FormatVersion::UNSTATED`] until its first message.
+    pub(crate) fn version(&self) -> FormatVersion {
+        self.version.get()
+    }
+
+    /// Whether the other host can read messages and commands that came with `format`.
+    pub(crate) fn supports(&self, format: FormatVersion) -> bool {
+        self.version() >= format
     }
 
     /// Queues a message. Returns `false` and drops it if the connection has ended or its queue is
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -244,4 +244,7 @@
     Report(EntryReport),
     /// The replica `id` tells the leader that its host has been told to stop.
     Leaving { id: HostId },
+    /// The complete state at `index`, in the form of [`FleetState::snapshot`]. In place of
+    /// [`LinkMessage::Snapshot`] for hosts that support [`gw_fleet::FormatVersion::EVACUATIONS`].
+    EncodedState { index: u64, state: Vec<u8> },
 }
--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use gw_daemon::BootClock;
+use gw_fleet::FormatVersion;
 use gw_types::Clock;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -62,10 +63,21 @@
     Closed { id: LinkId },
 }
 
+/// A message and what its frame says about the sender.
+struct ReceivedFrame {
+    message: LinkMessage,
+    /// The sender's version, if the message is its first one.
+    version: Option<FormatVersion>,
+}
+
 /// Encodes a message as a frame: its length in 4 bytes, little-endian, followed by the message in
-/// postcard.
+/// postcard. The first message of a connection is followed by the version of this build, which
+/// builds that state none ignore.
 pub(crate) fn encode_frame(message: &LinkMessage) -> Result<Bytes, postcard::Error> {
-    let body = postcard::to_stdvec(message)?;
+    let mut body = postcard::to_stdvec(message)?;
+    if matches!(message, LinkMessage::Hello { .. }) {
+        body = postcard::to_extend(&FormatVersion::CURRENT, body)?;
+    }
     let mut frame = BytesMut::with_capacity(4 + body.len());
     frame.put_u32_le(body.len() as u32);
     frame.extend_from_slice(&body);
@@ -158,7 +170,10 @@
     let mut buffer = BytesMut::with_capacity(4 * 1024);
     let mut last_byte = Instant::now();
     loop {
-        while let Some(message) = decode_frame(&mut buffer)? {
+        while let Some(ReceivedFrame { message, version }) = decode_frame(&mut buffer)? {
+            if let Some(version) = version {
+                link.version.set(version);
+            }
             match message {
                 LinkMessage::Ping => {
                     link.send(&LinkMessage::Pong);
@@ -190,7 +205,7 @@
     }
 }
 
-fn decode_frame(buffer: &mut BytesMut) -> io::Result<Option<LinkMessage>> {
+fn decode_frame(buffer: &mut BytesMut) -> io::Result<Option<ReceivedFrame>> {
     let Some(prefix) = buffer.first_chunk::<4>() else { return Ok(None) };
     let len = u32::from_le_bytes(*prefix) as usize;
     if len > MAX_FRAME_BYTES {
@@ -201,6 +216,12 @@
         return Ok(None);
     }
     let frame = buffer.split_to(4 + len);
-    let message = postcard::from_bytes(&frame[4..]);
-    message.map(Some).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+    let invalid = |error| io::Error::new(io::ErrorKind::InvalidData, error);
+    let (message, rest) = postcard::take_from_bytes(&frame[4..]).map_err(invalid)?;
+    let is_first = matches!(message, LinkMessage::Hello { .. });
+    let version = match is_first && !rest.is_empty() {
+        true => Some(postcard::from_bytes(rest).map_err(invalid)?),
+        false => None,
+    };
+    Ok(Some(ReceivedFrame { message, version }))
 }
--- a/crates/gw-gateway/src/settings.rs
+++ b/crates/gw-gateway/src/settings.rs
@@ -65,4 +65,16 @@
     pub link_rate: Option<f64>,
     /// Time from the stop signal until the platform kills the process.
     pub grace_time: Duration,
+    /// Memory that the process may use, in bytes; more ends it.
+    pub memory_bytes: u64,
+    /// Number of descriptors that the process may have open.
+    pub max_descriptors: u64,
+    /// Time after the acknowledgement of a zone's evacuation from which no request may reach a
+    /// target of the zone.
+    pub evacuation_time: Duration,
+    /// Requests per second that a cold target may get from all hosts together, as a multiple of the
+    /// rate that its service states.
+    pub cold_rate_factor: f64,
+    /// Requests that it may get in one second in addition.
+    pub cold_extra_requests: f64,
 }
