feat(gw-balance, gw-gateway): requests to cold targets only by leases of the leader

Cause: a target that has just started crashes if it gets more requests than it sustains while cold; hosts did not know which targets are cold, and each sent what it liked. Change: the leader collects the remaining times from announcements and responses, and gives the rate of each cold target to one entry host as a lease that expires, or as permits by demand if the service has keys. Entry hosts presume runs cold on evidence of their own and send them nothing without a lease or permit. Keys go to cold targets only if none is warm. Tests of gw-balance and gw-ranges pass: in virtual time, 100 to 285 hosts stay under the bound with lost and late messages and changes of sponsor and leader, and five faulty allocations exceed it. Tests of the platform crate pass but for grants_are_relayed_by_hosts_that_reach_targets in unreachable_targets.rs, which failed once while the machine's load was 30 on 7 cores; it is looked into next.

--- a/crates/gw-balance/src/lib.rs
+++ b/crates/gw-balance/src/lib.rs
@@ -5,13 +5,18 @@
 //! the requests to overloaded holders of keys. [`RequestQueue`] holds requests that wait for a free
 //! target, most urgent first. [`LinkPacer`] and [`TransferLoad`] keep large responses from filling
 //! the host's link. [`PathMonitor`] tells whether the host has lost its path to targets, and
-//! [`RelayTable`] and [`RelayPool`] choose the hosts that forward its requests meanwhile. The crate
-//! does no I/O and reads no clock: callers pass in the current time.
+//! [`RelayTable`] and [`RelayPool`] choose the hosts that forward its requests meanwhile. On the
+//! control leader, [`WarmthTable`] tells which targets are cold, and [`ColdAllocator`] divides the
+//! requests that they sustain among the entry hosts. The crate does no I/O and reads no clock:
+//! callers pass in the current time.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
 mod answered_requests;
 mod attempt_outcome;
+mod cold_allocator;
+mod cold_list;
+mod cold_state;
 mod holder_throttle;
 mod host_count;
 mod limit_table;
@@ -26,9 +31,18 @@
 mod target_pool;
 mod target_view;
 mod transfer_load;
+mod warm_up_limit;
+mod warmth_table;
 
 pub use answered_requests::AnsweredRequests;
 pub use attempt_outcome::AttemptOutcome;
+pub use cold_allocator::COLD_LEASE_TIME;
+pub use cold_allocator::COLD_PERMIT_TIME;
+pub use cold_allocator::ColdAllocator;
+pub use cold_allocator::ColdBound;
+pub use cold_list::ColdGrant;
+pub use cold_list::ColdLease;
+pub use cold_list::ColdList;
 pub use holder_throttle::HolderThrottle;
 pub use host_count::HostCount;
 pub use limit_table::LimitTable;
@@ -46,3 +60,5 @@
 pub use target_pool::TargetPool;
 pub use target_view::TargetView;
 pub use transfer_load::TransferLoad;
+pub use warm_up_limit::WarmUpLimit;
+pub use warmth_table::WarmthTable;
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -11,9 +11,11 @@
 
 use crate::AnsweredRequests;
 use crate::AttemptOutcome;
+use crate::ColdList;
 use crate::LimitTable;
 use crate::PreferredTargets;
 use crate::TargetView;
+use crate::WarmUpLimit;
 use crate::service_targets::ServiceTargets;
 
 /// Response time in seconds that is assumed for a service without recent responses.
@@ -25,6 +27,9 @@
 const PREFERRED_EXTRA_REQUESTS: u32 = 1;
 /// Requests that this host may have in flight at a target that it does not prefer.
 const OTHER_TARGET_LIMIT: u32 = 1;
+/// Requests that this host may have in flight at a target that has not responded to it, if targets of
+/// the service can be cold: the first response shows how fast it is.
+const UNTRIED_TARGET_LIMIT: u32 = 1;
 /// Smallest cost factor of targets that other hosts of the zone prefer.
 const MIN_OTHER_TARGET_FACTOR: f64 = 1.2;
 /// Smallest cost factor of targets in other zones. Equals the largest one within the zone, so that
@@ -66,6 +71,10 @@
     preferred: PreferredTargets,
     /// Number of entry hosts in all zones.
     host_count: u32,
+    /// Log index of the state that the targets are from.
+    state_index: u64,
+    /// Last list of the leader about cold targets, and the limits from any control host.
+    cold_list: ColdList,
     /// Sorted by name.
     targets: Vec<TargetView>,
     /// The targets by service, sorted by service.
@@ -80,6 +89,8 @@
             zone,
             preferred: PreferredTargets::default(),
             host_count: 1,
+            state_index: 0,
+            cold_list: ColdList::default(),
             targets: Vec::new(),
             services: Vec::new(),
         }
@@ -90,6 +101,11 @@
         self.host_count = u32::try_from(count).unwrap_or(u32::MAX);
     }
 
+    /// Sets the log index of the state that the next update of the targets comes from.
+    pub fn set_state_index(&mut self, index: u64) {
+        self.state_index = index;
+    }
+
     /// Replaces the announced targets, sorted by name, and the preferred targets. The state of a
     /// run is kept as long as the run is announced.
     pub fn update(
@@ -105,7 +121,11 @@
             let known_run = known.filter(|target| target.record.run == record.run);
             let mut target = known_run.unwrap_or_else(|| {
                 let spread = FACTOR_SPREAD * host_specific_fraction(&self.host, &record.name);
-                TargetView::new(record.clone(), now, spread)
+                let mut target = TargetView::new(record.clone(), now, self.state_index, spread);
+                let limit = WarmUpLimit::find(&self.cold_list.limits, &record.service);
+                target.cold.set_limit(limit);
+                target.cold.apply(now, &record.holder(), &self.cold_list);
+                target
             });
             target.update_record(record, now);
             self.targets.push(target);
@@ -244,6 +264,9 @@
     }
 
     fn in_flight_limit(&self, target: &TargetView) -> u32 {
+        if target.cold.is_limited() && target.responded_at == Timestamp::ZERO {
+            return UNTRIED_TARGET_LIMIT;
+        }
         let slots = u32::from(target.record.work_slots);
         if target.is_preferred || self.preferred.is_empty() {
             slots + PREFERRED_EXTRA_REQUESTS
@@ -330,6 +353,84 @@
         }
     }
 
+    /// Sets the limits of services for cold targets, sorted by service.
+    pub fn set_warm_up_limits(&mut self, limits: Vec<WarmUpLimit>) {
+        self.cold_list.limits = limits;
+        for target in &mut self.targets {
+            let limit = WarmUpLimit::find(&self.cold_list.limits, &target.record.service);
+            target.cold.set_limit(limit);
+        }
+    }
+
+    /// Applies a list of the leader about cold targets.
+    pub fn apply_cold_list(&mut self, now: Timestamp, mut list: ColdList) {
+        self.set_warm_up_limits(std::mem::take(&mut list.limits));
+        for target in &mut self.targets {
+            target.cold.apply(now, &target.record.holder(), &list);
+        }
+        // Leases are counted once, and runs that are not known yet get theirs with the next list.
+        list.leases.clear();
+        self.cold_list = ColdList { limits: std::mem::take(&mut self.cold_list.limits), ..list };
+    }
+
+    /// Returns whether requests to cold targets of any service are limited.
+    pub fn has_warm_up_limits(&self) -> bool {
+        !self.cold_list.limits.is_empty()
+    }
+
+    /// Records that the evacuation of a zone has ended at log index `index`: its targets may be cold.
+    pub fn record_evacuation_end(&mut self, now: Timestamp, zone: &ZoneName, index: u64) {
+        for target in self.targets.iter_mut().filter(|target| target.record.zone == *zone) {
+            target.cold.record_doubt(now, index);
+        }
+    }
+
+    /// Records what a target said about itself: for how long it stays cold. Returns whether it is
+    /// news that it is cold.
+    pub fn record_warmth(
+        &mut self,
+        now: Timestamp,
+        holder: &RangeHolder,
+        remaining: Duration,
+    ) -> bool {
+        self.target_mut(holder).is_some_and(|target| target.cold.record_statement(now, remaining))
+    }
+
+    /// Records that a connection to a target was established without a request.
+    pub fn record_reached(&mut self, now: Timestamp, holder: &RangeHolder) {
+        if let Some(target) = self.target_mut(holder) {
+            target.cold.record_reached(now);
+        }
+    }
+
+    /// Returns the targets to which a connection without a request is due, which shows whether they
+    /// can be reached again, and counts them as tried.
+    pub fn take_cold_probes(&mut self, now: Timestamp) -> Vec<TargetRecord> {
+        let due = self.targets.iter_mut().filter_map(|target| {
+            let is_due = target.is_serving() && target.cold.take_probe(now);
+            is_due.then(|| target.record.clone())
+        });
+        due.collect()
+    }
+
+    /// Returns the runs that are presumed cold, sorted, and whether this host has the lease for the
+    /// whole rate of each.
+    pub fn cold_runs(&self, now: Timestamp) -> Vec<(RangeHolder, bool)> {
+        let cold = self.targets.iter().filter(|target| target.is_cold(now));
+        cold.map(|target| (target.record.holder(), target.cold.is_sponsored(now))).collect()
+    }
+
+    /// Returns whether a run is presumed cold.
+    pub fn is_cold(&self, now: Timestamp, holder: &RangeHolder) -> bool {
+        self.live_target(holder).is_some_and(|target| target.is_cold(now))
+    }
+
+    /// Returns whether all targets of `service` that accept new requests are presumed cold.
+    pub fn is_service_cold(&self, now: Timestamp, service: &ServiceName) -> bool {
+        let mut serving = self.targets_of(service).filter(|target| target.is_serving());
+        serving.all(|target| target.is_cold(now))
+    }
+
     /// Records that a request is sent to a target.
     pub fn record_start(&mut self, now: Timestamp, holder: &RangeHolder) {
         if let Some(target) = self.target_mut(holder) {
--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -6,6 +6,7 @@
 
 use crate::AnsweredRequests;
 use crate::AttemptOutcome;
+use crate::cold_state::ColdState;
 use crate::target_pacer::TargetPacer;
 
 /// Weight of the newest request in the moving averages.
@@ -55,6 +56,8 @@
     unreachable_until: Timestamp,
     /// Spaces this host's requests; `None` unless the target has named a limit on their rate.
     pacer: Option<TargetPacer>,
+    /// Whether the target is presumed cold, and what may be sent to it meanwhile.
+    pub(crate) cold: ColdState,
     /// Whether another target responded at its address, so that this run has ended.
     has_ended: bool,
     last_outcome_at: Timestamp,
@@ -69,7 +72,13 @@
 }
 
 impl TargetView {
-    pub(crate) fn new(record: TargetRecord, now: Timestamp, factor_spread: f64) -> Self {
+    /// Creates the view of a run that this host has learnt of by log index `index`.
+    pub(crate) fn new(
+        record: TargetRecord,
+        now: Timestamp,
+        index: u64,
+        factor_spread: f64,
+    ) -> Self {
         Self {
             record,
             is_same_zone: false,
@@ -85,6 +94,7 @@
             rests_until: Timestamp::ZERO,
             unreachable_until: Timestamp::ZERO,
             pacer: None,
+            cold: ColdState::new(now, index),
             has_ended: false,
             last_outcome_at: now,
             responded_at: Timestamp::ZERO,
@@ -128,10 +138,11 @@
     }
 
     /// Returns the time until this host may send the next request: until the rest that the target has
-    /// asked for is over, and the limit that it has named allows one. Zero if it has said neither.
+    /// asked for is over, the limit that it has named allows one, and it is warm or this host has a
+    /// permit. Zero if nothing limits the requests.
     pub fn limit_wait(&self, now: Timestamp) -> Duration {
         let paced = self.pacer.map_or(Duration::ZERO, |pacer| pacer.next_permit(now).since(now));
-        paced.max(self.rests_until.since(now))
+        paced.max(self.rests_until.since(now)).max(self.cold.wait(now))
     }
 
     /// Records that the target wants no request from this host for some time. Returns whether it
@@ -143,10 +154,11 @@
         is_new
     }
 
-    /// Returns the time between two requests of this host that the limit of the target allows; zero
-    /// if it names none.
-    pub fn limit_interval(&self) -> Duration {
-        self.pacer.map_or(Duration::ZERO, |pacer| pacer.interval())
+    /// Returns the time between two requests of this host that the limit of the target allows, or
+    /// the leader if the target is cold; zero if nothing limits them.
+    pub fn limit_interval(&self, now: Timestamp) -> Duration {
+        let named = self.pacer.map_or(Duration::ZERO, |pacer| pacer.interval());
+        named.max(self.cold.interval(now))
     }
 
     /// Sets the limit that the target has named for all of `host_count` hosts together. `phase`
@@ -170,6 +182,13 @@
         if let Some(pacer) = &mut self.pacer {
             pacer.record_send(now);
         }
+        self.cold.record_send(now);
+    }
+
+    /// Returns whether the target is presumed cold, so that it gets requests only by leases of the
+    /// leader.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        self.cold.is_cold(now)
     }
 
     /// Returns whether another target responded at its address, so that this run has ended.
@@ -243,6 +262,12 @@
         };
         self.last_outcome_at = now;
         self.failure_rate += AVERAGE_WEIGHT * (f64::from(u8::from(is_failure)) - self.failure_rate);
+        match outcome {
+            AttemptOutcome::Unreachable => self.cold.record_failure(now, true),
+            AttemptOutcome::Broken => self.cold.record_failure(now, false),
+            AttemptOutcome::Answered { .. } => self.cold.record_reached(now),
+            _ => {}
+        }
         if outcome != AttemptOutcome::Unreachable {
             self.unreachable_until = Timestamp::ZERO;
         }
--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -89,6 +89,9 @@
     if !is_newest {
         return ControlReply::Accepted;
     }
+    // The leader learns of it before the record of a new run, which may go to it over the same
+    // connection.
+    host.record_warmth(&announcement.record.holder(), announcement.warm_up_left, Duration::ZERO);
     let name = announcement.record.name.clone();
     let is_known = {
         let log = host.log.borrow();
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -25,6 +25,7 @@
 use tokio::sync::oneshot;
 
 use crate::GatewaySettings;
+use crate::control::cold_targets::ColdDuty;
 use crate::control::fleet_log::FleetLog;
 use crate::control::granter_set::GranterSet;
 use crate::control::peer_links::PeerLink;
@@ -116,6 +117,7 @@
     /// Overloaded holders that were last reported to entry hosts.
     pub(crate) overloaded: RefCell<Vec<RangeHolder>>,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
+    pub(crate) cold: RefCell<ColdDuty>,
     /// When this host was last in contact with a majority, or last logged that it is not.
     pub(crate) majority_seen_at: Cell<Timestamp>,
     /// When this leader first saw each other replica as a member.
@@ -159,6 +161,7 @@
             granters_stepped_at: Cell::new(Timestamp::ZERO),
             overloaded: RefCell::default(),
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
+            cold: RefCell::new(ColdDuty::new(clock.now(), &settings)),
             majority_seen_at: Cell::new(clock.now()),
             first_seen: RefCell::default(),
             replacement: Cell::default(),
--- a/crates/gw-gateway/src/control/granter_set.rs
+++ b/crates/gw-gateway/src/control/granter_set.rs
@@ -96,7 +96,8 @@
         (orders, commands)
     }
 
-    /// Returns the holders that receive more requests than they can process, sorted by holder.
+    /// Returns the holders that receive more requests than they can process, sorted by holder. Cold
+    /// ones are left out, since they get requests only by permits.
     pub(crate) fn overloaded(
         &self,
         now: Timestamp,
--- a/crates/gw-gateway/src/control/mod.rs
+++ b/crates/gw-gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! ranges to targets.
 
 mod call_handler;
+mod cold_targets;
 mod control_host;
 mod fleet_log;
 mod granter_set;
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -7,6 +7,7 @@
 use gw_fleet::FleetState;
 use gw_ranges::HolderShare;
 use gw_ranges::RangeHolder;
+use gw_routing::ConfigVersion;
 use gw_types::HostId;
 use gw_types::HostName;
 use gw_types::Timestamp;
@@ -52,6 +53,9 @@
     pub(crate) takes_relays: bool,
     /// Whether the other host is an entry host that has connected and received no head yet.
     pub(crate) awaits_head: bool,
+    /// Version of the configuration whose limits for cold targets were last sent to the other host;
+    /// `None` if it got none.
+    pub(crate) sent_limits: Option<ConfigVersion>,
 }
 
 impl PeerLink {
@@ -113,6 +117,7 @@
                     relay: None,
                     takes_relays: false,
                     awaits_head: false,
+                    sent_limits: None,
                 });
             }
             LinkEvent::Closed { id } => {
@@ -180,6 +185,9 @@
                 });
             }
             LinkMessage::Report(report) => handle_report(host, &link, &report),
+            LinkMessage::Warmth { reports } => reports
+                .iter()
+                .for_each(|report| host.record_warmth(&report.holder, report.left(), report.age())),
             other => log::warn!("event=unexpected_message message={other:?}"),
         }
     }
@@ -217,6 +225,14 @@
     let mut quarantine = host.quarantine.borrow_mut();
     report.crashes.iter().for_each(|entry| quarantine.merge(now, entry));
     drop((monitor, log, granters, quarantine));
+    let sender = host
+        .links
+        .borrow()
+        .iter()
+        .find_map(|known| known.hello.clone().filter(|_| known.link.id == link.id));
+    if let Some((name, _, _)) = sender.filter(|_| host.is_confirmed_leader()) {
+        host.record_cold_demand(&name, &report.heat);
+    }
     host.record_leaving(&report.leaving, "report");
 }
 
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -122,6 +122,9 @@
                 // The target announced itself a moment ago, possibly to another replica.
                 self.monitor.borrow_mut().record_contact(self.now(), &record.name);
             }
+            if let FleetCommand::EndEvacuation { zone } = command {
+                self.record_evacuation_end(zone);
+            }
             log_applied(index, command, outcome);
         }
         let mut commands = self.pending_commands.borrow_mut();
@@ -180,6 +183,7 @@
         let event = if is_leader { "leads_control" } else { "left_control" };
         log::info!("event={event} term={term}");
         self.granters.borrow_mut().restart();
+        self.restart_cold_duty();
         self.monitor.borrow_mut().restart(self.now());
         self.first_seen.borrow_mut().clear();
         if !is_leader {
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -13,6 +13,7 @@
 use crate::GatewaySettings;
 use crate::RunError;
 use crate::control::call_handler::handle_call;
+use crate::control::cold_targets::send_cold_targets;
 use crate::control::control_host::ControlHost;
 use crate::control::order_delivery::UnreachableTargets;
 use crate::control::order_delivery::step_granters;
@@ -123,6 +124,7 @@
         host.reconcile_members();
     }
     step_granters(host, unreachable);
+    send_cold_targets(host, round == 0);
     if round != 0 {
         greet_entry_hosts(host);
         return;
@@ -183,6 +185,7 @@
         host.heard_targets.borrow_mut().clear();
         return;
     }
+    host.forward_warmth();
     let Some(link) = host.leader_link() else { return };
     let targets: Vec<_> =
         std::mem::take(&mut *host.heard_targets.borrow_mut()).into_iter().collect();
--- a/crates/gw-gateway/src/control/target_monitor.rs
+++ b/crates/gw-gateway/src/control/target_monitor.rs
@@ -3,6 +3,7 @@
 
 use gw_balance::LimitTable;
 use gw_balance::TargetLimit;
+use gw_balance::WarmthTable;
 use gw_fleet::DepartureCause;
 use gw_fleet::FleetState;
 use gw_fleet::TargetPhase;
@@ -54,6 +55,8 @@
     acceptance: BTreeMap<RangeHolder, AcceptanceEstimator>,
     /// Limits on the rate of requests that targets have named, as reported by entry hosts.
     limits: LimitTable,
+    /// Which targets are cold, from their announcements and responses.
+    pub(crate) warmth: WarmthTable,
     /// Start of the observation. A target that was not heard since then counts as heard at this
     /// time.
     started_at: Timestamp,
@@ -158,6 +161,7 @@
         self.estimators.retain(|holder, _| state.live_target(holder).is_some());
         self.acceptance.retain(|holder, _| state.live_target(holder).is_some());
         self.limits.expire(now, |holder| state.live_target(holder).is_some());
+        self.warmth.retain(now, |holder| state.live_target(holder).is_some());
     }
 
     /// Returns the target runs that hold, or may be given, keys of `service`, sorted by holder.
@@ -178,6 +182,9 @@
                     TargetPhase::Serving if self.silence(now, &target.name) > SILENCE_TIMEOUT => {
                         HolderStatus::Silent
                     }
+                    TargetPhase::Serving if self.warmth.cold_rate(now, target).is_some() => {
+                        HolderStatus::Cold
+                    }
                     TargetPhase::Serving => HolderStatus::Serving,
                 },
                 speed: self.speed(now, target, typical),
@@ -207,7 +214,8 @@
         estimator.processing_time(now).filter(|time| *time > 0.0)
     }
 
-    /// Returns the number of requests per second that a holder can process, if known.
+    /// Returns the number of requests per second that a holder can process, if known. `None` for cold
+    /// holders, which get requests only by permits.
     pub(crate) fn capacity(
         &self,
         now: Timestamp,
@@ -215,6 +223,9 @@
         holder: &RangeHolder,
     ) -> Option<f64> {
         let target = state.live_target(holder)?;
+        if self.warmth.cold_rate(now, target).is_some() {
+            return None;
+        }
         Some(f64::from(target.work_slots.max(1)) / self.processing_time(now, target)?)
     }
 
@@ -241,7 +252,11 @@
         let speed = if taken < 1.0 { (speed * taken).max(MIN_LIMITED_SPEED) } else { speed };
         let limit = self.limits.find(&target.name, target.run);
         let limit = limit.filter(|limit| now.since(limit.stated_at) < MAX_LIMIT_AGE);
-        let Some(per_second) = limit.and_then(|limit| limit.per_second) else { return speed };
+        let named = limit.and_then(|limit| limit.per_second);
+        let limits = [named, self.warmth.cold_rate(now, target)];
+        let Some(per_second) = limits.into_iter().flatten().min_by(f64::total_cmp) else {
+            return speed;
+        };
         let typical = typical.unwrap_or(DEFAULT_PROCESSING_SECONDS);
         let limited = per_second * typical / f64::from(target.work_slots.max(1));
         speed.min(limited.max(MIN_LIMITED_SPEED))
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -35,6 +35,9 @@
 /// Longest `Retry-After` of a request refused under load.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Reason of a refusal: the only targets that the request may be sent to are cold.
+const TARGET_COLD: &str = "target_cold";
+
 /// The properties of a request that admission depends on.
 #[derive(Clone, Debug)]
 pub(crate) struct AdmissionParams {
@@ -60,7 +63,11 @@
 
 impl SendPermit {
     fn new(host: &Rc<EntryHost>, holder: RangeHolder, address: SocketAddr) -> Self {
-        host.pool.borrow_mut().record_start(host.now(), &holder);
+        let now = host.now();
+        let mut pool = host.pool.borrow_mut();
+        host.metrics.cold_requests.inc_by(u64::from(pool.is_cold(now, &holder)));
+        pool.record_start(now, &holder);
+        drop(pool);
         Self { host: host.clone(), holder, address, outcome: AttemptOutcome::Cancelled }
     }
 
@@ -118,6 +125,7 @@
     let max_wait = max_wait(host, now, params);
     let wait = match estimate_wait(host, now, params) {
         WaitEstimate::Refused { reason, retry_after } => {
+            host.metrics.cold_refusals.inc_by(u64::from(reason == TARGET_COLD));
             return Err(LocalReply::not_executed(reason, retry_after));
         }
         WaitEstimate::Wait(wait) => wait,
@@ -215,7 +223,7 @@
         if capacity == 0
             && let Some(wait) = pool.limit_wait(now, &params.service)
         {
-            return wait_for_limit(wait);
+            return wait_for_limit(wait, pool.is_service_cold(now, &params.service));
         }
         let capacity = f64::from(capacity.max(1));
         return WaitEstimate::Wait(Duration::from_secs_f64(
@@ -257,8 +265,9 @@
         (Some(HolderAvailability::Limited), Some(target)) => {
             let ahead = count_ahead_in_range(&host.queue.borrow(), params, assignment.range);
             let turns = u32::try_from(ahead).unwrap_or(u32::MAX);
-            let interval = target.limit_interval();
-            wait_for_limit(target.limit_wait(now) + interval.saturating_mul(turns))
+            let interval = target.limit_interval(now);
+            let wait = target.limit_wait(now) + interval.saturating_mul(turns);
+            wait_for_limit(wait, target.is_cold(now))
         }
         (Some(HolderAvailability::Paused), Some(_)) => {
             WaitEstimate::Refused { reason: "holder_fails", retry_after: MOVE_RETRY_AFTER }
@@ -268,12 +277,13 @@
 }
 
 /// Returns the estimate for a request that has to wait until the limit of a target allows it.
-fn wait_for_limit(wait: Duration) -> WaitEstimate {
+fn wait_for_limit(wait: Duration, is_cold: bool) -> WaitEstimate {
     if wait <= MAX_LIMIT_WAIT {
         return WaitEstimate::Wait(wait);
     }
     let retry_after = wait.clamp(MOVE_RETRY_AFTER, MAX_RETRY_AFTER);
-    WaitEstimate::Refused { reason: "target_limited", retry_after }
+    let reason = if is_cold { TARGET_COLD } else { "target_limited" };
+    WaitEstimate::Refused { reason, retry_after }
 }
 
 /// Admits queued requests for which a target has capacity, each time something has changed that may
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -8,6 +8,7 @@
 use gw_dispatch::QuarantineEntry;
 use gw_fleet::ControlChoice;
 use gw_fleet::FleetState;
+use gw_fleet::FormatVersion;
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
@@ -209,6 +210,7 @@
                 }
                 self.check_progress();
             }
+            LinkMessage::ColdTargets(message) => self.host.apply_cold_message(message),
             LinkMessage::RunOrder { call, order, address, send_before } => {
                 let send_before = Timestamp::from_nanos(send_before);
                 let host = self.host.clone();
@@ -356,6 +358,8 @@
         self.select_stream();
         self.check_progress();
         self.report();
+        self.host.log_cold_targets();
+        self.host.probe_cold_targets();
         if self.host.now().since(self.shares_received_at) > MAX_SHARES_AGE {
             self.host.throttle.borrow_mut().update(Vec::new(), 0.0);
         }
@@ -396,6 +400,12 @@
                 base.clone()
             };
             link.link.send(&LinkMessage::Report(report));
+            if is_leader && link.link.supports(FormatVersion::EVACUATIONS) {
+                let reports = self.host.take_warmth_reports();
+                if !reports.is_empty() {
+                    link.link.send(&LinkMessage::Warmth { reports });
+                }
+            }
         }
     }
 
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -29,6 +29,7 @@
 use gw_types::Clock;
 use gw_types::ServiceName;
 use gw_types::Timestamp;
+use gw_types::ZoneName;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -37,6 +38,7 @@
 use crate::GatewaySettings;
 use crate::entry::admission::AdmissionParams;
 use crate::entry::admission::SendPermit;
+use crate::entry::cold_watch::ColdWatch;
 use crate::entry::relay_hosts::RelayHosts;
 use crate::entry::transfer_gate::TransferGate;
 use crate::gateway_metrics::GatewayMetrics;
@@ -82,6 +84,7 @@
     pub(crate) named_limits: RefCell<LimitTable>,
     /// Those that targets have named to any host.
     limits: RefCell<LimitTable>,
+    pub(crate) cold: ColdWatch,
     /// Number of hosts among which these limits are divided.
     sharing_hosts: Cell<HostCount>,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<SendPermit>>>,
@@ -140,6 +143,7 @@
             throttle: RefCell::default(),
             named_limits: RefCell::default(),
             limits: RefCell::default(),
+            cold: ColdWatch::default(),
             sharing_hosts: Cell::default(),
             waiters: RefCell::default(),
             connections: TargetConnections::new(dialer.clone()),
@@ -276,9 +280,11 @@
             state.config_version(),
             state.targets().len(),
         );
+        let evacuated = self.evacuated_zones();
         if self.learned.borrow_mut().install(index, state) == LearnOutcome::Advanced {
             self.is_pool_stale.set(true);
             self.refresh_from_state();
+            self.record_evacuation_changes(&evacuated);
         }
     }
 
@@ -290,6 +296,7 @@
         through: u64,
         commands: &[(u64, FleetCommand)],
     ) -> bool {
+        let evacuated = self.evacuated_zones();
         let mut version = self.state().config_version();
         let inspect = |command: &FleetCommand, state: &FleetState| {
             log_command(command);
@@ -307,6 +314,7 @@
         let outcome = self.learned.borrow_mut().apply(after, through, commands, inspect);
         if outcome == LearnOutcome::Advanced {
             self.refresh_from_state();
+            self.record_evacuation_changes(&evacuated);
         }
         if outcome == LearnOutcome::Incomplete && self.learned.borrow().is_damaged() {
             log::error!("event=config_change_unfit held={version}");
@@ -314,6 +322,17 @@
         outcome != LearnOutcome::Incomplete
     }
 
+    fn evacuated_zones(&self) -> Vec<ZoneName> {
+        self.state().evacuations().iter().map(|evacuation| evacuation.zone.clone()).collect()
+    }
+
+    /// Records which of the zones in `before` are no longer evacuated.
+    fn record_evacuation_changes(&self, before: &[ZoneName]) {
+        let ended = before.iter().filter(|zone| !self.state().is_evacuated(zone));
+        let ended: Vec<ZoneName> = ended.cloned().collect();
+        self.record_evacuation_ends(&ended);
+    }
+
     /// When the pool of targets is due to be brought up to date; `None` if it is.
     ///
     /// An update costs time for every target, and at the start of a large system hundreds of targets
@@ -333,7 +352,10 @@
         self.pool_updated_at.set(now);
         let state = self.state();
         let preferred = self.preferred_targets.borrow();
-        self.pool.borrow_mut().update(self.now(), state.targets(), &preferred);
+        let mut pool = self.pool.borrow_mut();
+        pool.set_state_index(self.applied());
+        pool.update(self.now(), state.targets(), &preferred);
+        drop(pool);
         self.apply_limits();
     }
 
--- a/crates/gw-gateway/src/entry/mod.rs
+++ b/crates/gw-gateway/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Entry hosts: serve callers' requests and follow the control log as non-voting learners.
 
 mod admission;
+mod cold_watch;
 mod control_links;
 mod entry_host;
 mod forwarded_stream;
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -340,6 +340,9 @@
     {
         log_statement(request, &permit, "target_leaving", "source=answer");
     }
+    if is_id_echoed && let Some(left) = metadata.warm_up_left {
+        host.record_warmth(&permit.holder, left);
+    }
     // On a connection that was used before, a refusal without an id may be that of an earlier request.
     let is_first_nameless = metadata.request_id.is_none() && !was_pooled;
     if metadata.is_refusal && (is_id_echoed || is_first_nameless) {
--- a/crates/gw-gateway/src/gateway_metrics.rs
+++ b/crates/gw-gateway/src/gateway_metrics.rs
@@ -42,6 +42,9 @@
     pub(crate) connections_opened: Gauge,
     pub(crate) is_leader: Gauge,
     pub(crate) is_path_lost: Gauge,
+    pub(crate) cold_targets: Gauge,
+    pub(crate) cold_requests: Counter,
+    pub(crate) cold_refusals: Counter,
     pub(crate) dropped_lines: Gauge,
 }
 
@@ -61,6 +64,9 @@
             connections_opened: Gauge::default(),
             is_leader: Gauge::default(),
             is_path_lost: Gauge::default(),
+            cold_targets: Gauge::default(),
+            cold_requests: Counter::default(),
+            cold_refusals: Counter::default(),
             dropped_lines: Gauge::default(),
         };
         metrics.register();
@@ -91,6 +97,12 @@
         registry.register("control_leader", "1 on the control leader", self.is_leader.clone());
         let help = "1 while no target can be reached from this host";
         registry.register("target_path_lost", help, self.is_path_lost.clone());
+        let help = "Targets that are presumed cold";
+        registry.register("cold_targets", help, self.cold_targets.clone());
+        let help = "Requests sent to cold targets under leases";
+        registry.register("cold_requests", help, self.cold_requests.clone());
+        let help = "Requests refused since targets are cold";
+        registry.register("cold_refusals", help, self.cold_refusals.clone());
         let help = "Log lines dropped since the start";
         registry.register("log_lines_dropped", help, self.dropped_lines.clone());
     }
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -21,6 +21,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::link::ColdMessage;
+use crate::link::WarmthReport;
+
 /// Identifies a call among those of its sender.
 pub(crate) type CallId = u64;
 
@@ -247,4 +250,10 @@
     /// The complete state at `index`, in the form of [`FleetState::snapshot`]. In place of
     /// [`LinkMessage::Snapshot`] for hosts that support [`gw_fleet::FormatVersion::EVACUATIONS`].
     EncodedState { index: u64, state: Vec<u8> },
+    /// Tells the leader for how long targets stay cold. Only for hosts that support
+    /// [`gw_fleet::FormatVersion::EVACUATIONS`].
+    Warmth { reports: Vec<WarmthReport> },
+    /// See [`ColdMessage`]. Only for hosts that support
+    /// [`gw_fleet::FormatVersion::EVACUATIONS`].
+    ColdTargets(ColdMessage),
 }
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -1,10 +1,15 @@
 //! Connections between hosts, which carry length-prefixed postcard frames over TCP.
 
+mod cold_message;
 mod dialed_peers;
 mod link_handle;
 mod link_message;
 mod link_task;
 
+pub(crate) use cold_message::ColdMessage;
+pub(crate) use cold_message::GrantReport;
+pub(crate) use cold_message::LeaseReport;
+pub(crate) use cold_message::WarmthReport;
 pub(crate) use dialed_peers::DialedPeers;
 pub(crate) use link_handle::LinkHandle;
 pub(crate) use link_message::CallFailure;
--- a/crates/gw-gateway/src/ports/control_call.rs
+++ b/crates/gw-gateway/src/ports/control_call.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 use gw_fleet::StoredConfig;
 use gw_fleet::TargetRecord;
@@ -12,6 +14,8 @@
     /// Increases with each announcement of the same run, so that announcements that arrive out of
     /// order are recognized as outdated.
     pub sequence: u64,
+    /// For how long the target stays cold; zero if it is warm, or says nothing about it.
+    pub warm_up_left: Duration,
 }
 
 /// A call that a target or an operator makes to a control host.
--- a/crates/gw-gateway/src/ports/protocol_adapter.rs
+++ b/crates/gw-gateway/src/ports/protocol_adapter.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use gw_balance::WarmUpLimit;
 use gw_ranges::OrderOutcome;
 use gw_ranges::TargetOrder;
 use http::HeaderMap;
@@ -39,6 +40,10 @@
         body: &Bytes,
     ) -> Result<ControlCall, CallError>;
 
+    /// Reads from the document of a configuration what cold targets sustain, sorted by service. Empty
+    /// if the document cannot be read.
+    fn read_warm_up_limits(&self, document: &[u8]) -> Vec<WarmUpLimit>;
+
     /// Builds the response to a call.
     fn write_reply(&self, reply: &ControlReply) -> Response<Bytes>;
 
--- a/crates/gw-gateway/src/ports/response_metadata.rs
+++ b/crates/gw-gateway/src/ports/response_metadata.rs
@@ -22,4 +22,6 @@
     pub rest: Option<Duration>,
     /// Whether the target says that it leaves, so that it gets no new work.
     pub is_leaving: bool,
+    /// For how long the target stays cold, if it says so; zero if it says that it is warm.
+    pub warm_up_left: Option<Duration>,
 }
--- a/crates/gw-ranges/src/range_granter.rs
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -448,7 +448,10 @@
         let mut uncertain = leases.filter(|lease| now < lease.uncertain_until);
         uncertain.any(|lease| {
             let status = status_of(&lease.holder, candidates);
-            let is_responsive = matches!(status, HolderStatus::Serving | HolderStatus::Draining);
+            let is_responsive = matches!(
+                status,
+                HolderStatus::Serving | HolderStatus::Cold | HolderStatus::Draining
+            );
             is_responsive
                 && lease.consecutive_failures == 0
                 && now.since(lease.learned_at) < UNCERTAIN_GRANT_TIMEOUT
--- a/crates/gw-ranges/src/range_holder.rs
+++ b/crates/gw-ranges/src/range_holder.rs
@@ -26,6 +26,9 @@
 pub enum HolderStatus {
     /// Announces itself and may receive keys.
     Serving,
+    /// Announces itself, but sustains few requests for some time. Keeps its keys until they move, and
+    /// receives keys only if no target is serving at its full speed.
+    Cold,
     /// Is draining or has deregistered itself. Still serves its keys, but receives no more.
     Draining,
     /// Was not heard from for too long. It may still run and serve keys.
--- a/crates/gw-ranges/src/range_plan.rs
+++ b/crates/gw-ranges/src/range_plan.rs
@@ -35,13 +35,16 @@
     /// Decayed number of requests for the keys that the target holds or is about to receive,
     /// divided by its speed.
     load: f64,
+    /// Whether the target may receive further keys.
+    may_receive: bool,
 }
 
 /// Decides which ranges move to which targets.
 ///
 /// Ranges without a serving holder, because they were never assigned or because their holder is
 /// draining, silent or has ended, are split over the least loaded serving targets. If there are
-/// none, keys move from the most to the least loaded target. `may_move` returns whether a range can
+/// none, keys move from the most to the least loaded target. Cold targets keep what they hold, and
+/// receive keys only if no target is serving. `may_move` returns whether a range can
 /// be released without delay; it limits only the moves for load balancing.
 pub fn plan_moves(
     table: &RangeTable,
@@ -49,11 +52,19 @@
     counts: &DecayedCounts,
     may_move: impl Fn(&RangeAssignment) -> bool,
 ) -> Vec<RangeTransfer> {
-    let is_serving = |candidate: &&RangeCandidate| candidate.status == HolderStatus::Serving;
+    let holds = |candidate: &&RangeCandidate| {
+        matches!(candidate.status, HolderStatus::Serving | HolderStatus::Cold)
+    };
+    let is_serving = |candidate: &RangeCandidate| candidate.status == HolderStatus::Serving;
+    let is_any_serving = candidates.iter().any(is_serving);
     let mut loads: Vec<TargetLoad<'_>> = candidates
         .iter()
-        .filter(is_serving)
-        .map(|candidate| TargetLoad { candidate, load: 0.0 })
+        .filter(holds)
+        .map(|candidate| TargetLoad {
+            candidate,
+            load: 0.0,
+            may_receive: is_serving(candidate) || !is_any_serving,
+        })
         .collect();
     if loads.is_empty() {
         return Vec::new();
@@ -110,7 +121,10 @@
     let average = average_load(loads, counts.requests_of(assignment.range));
     let mut remainder = Some(assignment.range);
     while let Some(range) = remainder {
-        let least_loaded = loads.iter_mut().min_by(|a, b| a.load.total_cmp(&b.load));
+        let least_loaded = loads
+            .iter_mut()
+            .filter(|load| load.may_receive)
+            .min_by(|a, b| a.load.total_cmp(&b.load));
         let Some(target) = least_loaded else { return };
         let spare = (average - target.load).max(average * MIN_PART_RATIO);
         let spare_requests = spare * target.candidate.speed;
@@ -189,8 +203,9 @@
     let average = average_load(loads, 0.0);
     let by_load = |a: &(usize, f64), b: &(usize, f64)| a.1.total_cmp(&b.1);
     let indexed = || loads.iter().enumerate().map(|(index, load)| (index, load.load));
+    let receivers = indexed().filter(|(index, _)| loads[*index].may_receive);
     let (Some(most_loaded), Some(least_loaded)) =
-        (indexed().max_by(by_load), indexed().min_by(by_load))
+        (indexed().max_by(by_load), receivers.min_by(by_load))
     else {
         return;
     };
@@ -257,8 +272,9 @@
         return None;
     }
     let load_at = |index: usize| key_requests / loads[index].candidate.speed;
-    let eligible =
-        (0..loads.len()).filter(|&index| load_at(index) <= source_load * MAX_HOT_KEY_RATIO);
+    let eligible = (0..loads.len()).filter(|&index| {
+        loads[index].may_receive && load_at(index) <= source_load * MAX_HOT_KEY_RATIO
+    });
     let total = |index: usize| load_at(index) + loads[index].load;
     eligible.min_by(|&a, &b| total(a).total_cmp(&total(b)))
 }
