--- a/crates/gw-balance/src/cold_state.rs
+++ b/crates/gw-balance/src/cold_state.rs
@@ -149,6 +149,14 @@
         self.failure = Some(ConnectionFailure { at: now, margin, reached_at: None, probed_at });
     }
 
+    /// Records that this host has no connection to the target and hears nothing from the leader. The
+    /// state changes once until the next list, which may then be long in coming.
+    pub(crate) fn record_unconnected(&mut self, now: Timestamp) {
+        if self.is_limited() && self.failure.is_none() {
+            self.record_failure(now, true);
+        }
+    }
+
     /// Records that the target was reached.
     pub(crate) fn record_reached(&mut self, now: Timestamp) {
         if let Some(failure) = &mut self.failure {
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -403,6 +403,20 @@
         }
     }
 
+    /// Records, while no list of the leader arrives, that this host has no connection to the targets
+    /// for which `is_connected` does not hold: they may have restarted unnoticed.
+    pub fn record_unconnected(
+        &mut self,
+        now: Timestamp,
+        is_connected: impl Fn(&TargetView) -> bool,
+    ) {
+        for target in &mut self.targets {
+            if target.in_flight == 0 && !is_connected(target) {
+                target.cold.record_unconnected(now);
+            }
+        }
+    }
+
     /// Returns the targets to which a connection without a request is due, which shows whether they
     /// can be reached again, and counts them as tried.
     pub fn take_cold_probes(&mut self, now: Timestamp) -> Vec<TargetRecord> {
@@ -425,10 +439,12 @@
         self.live_target(holder).is_some_and(|target| target.is_cold(now))
     }
 
-    /// Returns whether all targets of `service` that accept new requests are presumed cold.
-    pub fn is_service_cold(&self, now: Timestamp, service: &ServiceName) -> bool {
-        let mut serving = self.targets_of(service).filter(|target| target.is_serving());
-        serving.all(|target| target.is_cold(now))
+    /// Returns the shortest time between two requests of this host to a target of `service`, if all of
+    /// those that accept new requests are presumed cold.
+    pub fn cold_interval(&self, now: Timestamp, service: &ServiceName) -> Option<Duration> {
+        let serving = || self.targets_of(service).filter(|target| target.is_serving());
+        let is_cold = serving().all(|target| target.is_cold(now));
+        serving().map(|target| target.limit_interval(now)).min().filter(|_| is_cold)
     }
 
     /// Records that a request is sent to a target.
--- a/crates/gw-balance/src/warmth_table.rs
+++ b/crates/gw-balance/src/warmth_table.rs
@@ -2,6 +2,7 @@
 
 use gw_fleet::TargetRecord;
 use gw_ranges::RangeHolder;
+use gw_types::ServiceName;
 use gw_types::Timestamp;
 
 use crate::WarmUpLimit;
@@ -50,6 +51,11 @@
         &self.limits
     }
 
+    /// Returns whether requests to cold targets of a service are limited.
+    pub fn is_limited(&self, service: &ServiceName) -> bool {
+        WarmUpLimit::find(&self.limits, service).is_some()
+    }
+
     /// Records what a run said `age` ago: for how long it stays cold. Returns whether the run is new,
     /// has become cold or has become warm.
     pub fn record(
@@ -138,9 +144,7 @@
                 now >= run.cold_until && now.since(run.stated_at) > MAX_STATEMENT_AGE
             })
         };
-        let limited = targets
-            .into_iter()
-            .filter(|target| WarmUpLimit::find(&self.limits, &target.service).is_some());
+        let limited = targets.into_iter().filter(|target| self.is_limited(&target.service));
         let mut unsure: Vec<RangeHolder> =
             limited.map(TargetRecord::holder).filter(|holder| is_unsure(holder)).collect();
         unsure.sort();
--- a/crates/gw-gateway/src/control/cold_targets.rs
+++ b/crates/gw-gateway/src/control/cold_targets.rs
@@ -79,16 +79,13 @@
     /// the run announced itself here.
     pub(crate) fn record_warmth(&self, holder: &RangeHolder, left: Duration, age: Duration) {
         let now = self.now();
-        let (is_news, was_cold, is_cold, is_limited) = {
+        let (is_news, was_cold, is_cold) = {
             let warmth = &mut self.monitor.borrow_mut().warmth;
             let was_cold = warmth.remaining(now, holder).is_some();
             let is_news = warmth.record(now, holder, left, age);
             let is_cold = warmth.remaining(now, holder).is_some();
-            (is_news, was_cold, is_cold, !warmth.limits().is_empty())
+            (is_news, was_cold, is_cold)
         };
-        if !is_limited {
-            return;
-        }
         if is_cold && !was_cold {
             log::info!("event=target_cold target={holder} left_ms={}", left.as_millis());
             self.cold.borrow_mut().is_urgent = true;
@@ -180,8 +177,9 @@
     let state = log.state();
     let cold = cold_targets(state, |target| monitor.warmth.cold_rate(now, target));
     host.metrics.cold_targets.set(cold.len() as i64);
-    // Permits that are not sent to a host would be lost, so they are given out only to all.
-    let leases = match is_for_all {
+    // Permits that are not sent to a host would be lost, so they are given out only to all. A host
+    // that stops hands the leadership over, and leases of the next leader may follow at once.
+    let leases = match is_for_all && !host.is_stopping.get() {
         true => allocate(now, state, &cold, &mut duty.allocator, &links),
         false => BTreeMap::new(),
     };
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -223,7 +223,9 @@
         if capacity == 0
             && let Some(wait) = pool.limit_wait(now, &params.service)
         {
-            return wait_for_limit(wait, pool.is_service_cold(now, &params.service));
+            let interval = pool.cold_interval(now, &params.service);
+            let turns = interval.map_or(Duration::ZERO, |interval| interval.mul_f64(ahead));
+            return wait_for_limit(wait + turns, interval.is_some());
         }
         let capacity = f64::from(capacity.max(1));
         return WaitEstimate::Wait(Duration::from_secs_f64(
--- a/crates/gw-gateway/src/entry/cold_watch.rs
+++ b/crates/gw-gateway/src/entry/cold_watch.rs
@@ -15,6 +15,10 @@
 /// Age of the leader's last list from which limits of other control hosts are taken.
 const MAX_LIST_AGE: Duration = Duration::from_millis(1_500);
 
+/// Time without a list of a leader from which targets without a connection may have restarted
+/// unnoticed. Longer than nearly all changes of the leader.
+const CUT_OFF_TIME: Duration = Duration::from_secs(3);
+
 /// What an entry host keeps about cold targets besides the state of each.
 #[derive(Default)]
 pub(crate) struct ColdWatch {
@@ -70,7 +74,17 @@
     /// Opens connections, without requests, to targets that connections failed to, as far as that is
     /// due.
     pub(crate) fn probe_cold_targets(self: &Rc<Self>) {
-        let due = self.pool.borrow_mut().take_cold_probes(self.now());
+        let now = self.now();
+        let due = {
+            let mut pool = self.pool.borrow_mut();
+            let is_cut_off = now.since(self.cold.listed_at.get()) > CUT_OFF_TIME;
+            if is_cut_off && pool.has_warm_up_limits() {
+                pool.record_unconnected(now, |target| {
+                    self.connections.has_idle(target.record.address)
+                });
+            }
+            pool.take_cold_probes(now)
+        };
         for target in due {
             let host = self.clone();
             spawn_local(async move {
