feat(gw-balance, gw-gateway): load that targets report; fix(gw-gateway): targets at the start of a host

Cause: entry hosts know only their own requests in flight, though targets of some services state their load in responses. A host that had never had a list of cold targets counted as cut off, so that it took all targets for failed for 1.8 s; the first announcement after a configuration was not kept, as limits were read with the next tick. Change: X-Instance-Load is read and combined with the host's own requests. It raises the cost of targets, holds back requests to holders that state to be full, and lowers the speed by which the leader plans keys; each use has a switch in LoadUses. Cut off is a host whose last list is old. Followers keep all statements and forward them when the configuration gets limits. The use for speed has not been measured.

--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -13,7 +13,9 @@
 use crate::AttemptOutcome;
 use crate::ColdList;
 use crate::LimitTable;
+use crate::LoadUses;
 use crate::PreferredTargets;
+use crate::ReportedLoad;
 use crate::TargetView;
 use crate::WarmUpLimit;
 use crate::service_targets::ServiceTargets;
@@ -53,7 +55,7 @@
 pub enum HolderAvailability {
     /// It can accept a request.
     Available,
-    /// This host's limit of requests in flight is reached.
+    /// This host's limit of requests in flight is reached, or the target has stated that it is full.
     Busy,
     /// It is paused after failures or a refusal.
     Paused,
@@ -71,6 +73,8 @@
     preferred: PreferredTargets,
     /// Number of entry hosts in all zones.
     host_count: u32,
+    /// Uses of the loads that targets state.
+    load_uses: LoadUses,
     /// Log index of the state that the targets are from.
     state_index: u64,
     /// Last list of the leader about cold targets, and the limits from any control host.
@@ -89,6 +93,7 @@
             zone,
             preferred: PreferredTargets::default(),
             host_count: 1,
+            load_uses: LoadUses::default(),
             state_index: 0,
             cold_list: ColdList::default(),
             targets: Vec::new(),
@@ -96,6 +101,11 @@
         }
     }
 
+    /// Sets which uses are made of the loads that targets state.
+    pub fn set_load_uses(&mut self, uses: LoadUses) {
+        self.load_uses = uses;
+    }
+
     /// Sets the number of entry hosts in all zones.
     pub fn set_host_count(&mut self, count: usize) {
         self.host_count = u32::try_from(count).unwrap_or(u32::MAX);
@@ -258,7 +268,9 @@
                 && !tried.contains(&target.record.name)
                 && is_usable(target)
         });
-        let cost = |target: &TargetView| target.cost(now, typical, OTHER_ZONE_PENALTY_SECONDS);
+        let uses_load = self.load_uses.choice;
+        let cost =
+            |target: &TargetView| target.cost(now, typical, OTHER_ZONE_PENALTY_SECONDS, uses_load);
         let ranked = available.map(|target| (cost(target), target));
         ranked.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, target)| target)
     }
@@ -288,7 +300,8 @@
         if !target.limit_wait(now).is_zero() {
             return HolderAvailability::Limited;
         }
-        if target.in_flight < self.holder_limit(target) {
+        let is_full = target.load.is_full(now, target.in_flight, MIN_TARGET_QUEUE);
+        if target.in_flight < self.holder_limit(target) && !(self.load_uses.admission && is_full) {
             HolderAvailability::Available
         } else {
             HolderAvailability::Busy
@@ -468,6 +481,25 @@
         self.target_mut(holder).is_some_and(|target| target.record_rest(now, rest))
     }
 
+    /// Records the load that a target has stated in a response, before the end of the request is
+    /// recorded.
+    pub fn record_load(&mut self, now: Timestamp, holder: &RangeHolder, load: &ReportedLoad) {
+        if let Some(target) = self.target_mut(holder) {
+            let own = target.in_flight.saturating_sub(1);
+            target.load.record(now, load, own, target.factor_spread);
+        }
+    }
+
+    /// Returns the processing times that targets have stated since the last call, as multiples of the
+    /// usual ones.
+    pub fn take_paces(&mut self) -> Vec<(RangeHolder, f64)> {
+        let is_used = self.load_uses.speed;
+        let targets = self.targets.iter_mut().filter(|_| is_used);
+        targets
+            .filter_map(|target| Some((target.record.holder(), target.load.take_pace()?)))
+            .collect()
+    }
+
     /// Records that a target has said to this host that it leaves. Returns whether that is news.
     pub fn record_leaving(&mut self, now: Timestamp, holder: &RangeHolder) -> bool {
         self.target_mut(holder).is_some_and(|target| target.record_leaving(now))
--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -7,6 +7,7 @@
 use crate::AnsweredRequests;
 use crate::AttemptOutcome;
 use crate::cold_state::ColdState;
+use crate::reported_load::TargetLoad;
 use crate::target_pacer::TargetPacer;
 
 /// Weight of the newest request in the moving averages.
@@ -58,6 +59,8 @@
     pacer: Option<TargetPacer>,
     /// Whether the target is presumed cold, and what may be sent to it meanwhile.
     pub(crate) cold: ColdState,
+    /// Load that the target has stated.
+    pub(crate) load: TargetLoad,
     /// Whether another target responded at its address, so that this run has ended.
     has_ended: bool,
     last_outcome_at: Timestamp,
@@ -95,6 +98,7 @@
             unreachable_until: Timestamp::ZERO,
             pacer: None,
             cold: ColdState::new(now, index),
+            load: TargetLoad::default(),
             has_ended: false,
             last_outcome_at: now,
             responded_at: Timestamp::ZERO,
@@ -217,11 +221,22 @@
     }
 
     /// Returns the cost by which targets are compared: the expected response time of a further
-    /// request in seconds, with penalties. `typical` replaces an unknown response time.
-    pub(crate) fn cost(&self, now: Timestamp, typical: f64, zone_penalty: f64) -> f64 {
-        let response_time = self.response_time(now).unwrap_or(typical);
+    /// request in seconds, with penalties. `typical` replaces an unknown response time. A load that
+    /// the target has stated can only raise the cost, if `uses_load`.
+    pub(crate) fn cost(
+        &self,
+        now: Timestamp,
+        typical: f64,
+        zone_penalty: f64,
+        uses_load: bool,
+    ) -> f64 {
+        let (others, pace) = match uses_load {
+            true => (self.load.trusted_others(now), self.load.pace().unwrap_or(1.0).max(1.0)),
+            false => (0.0, 1.0),
+        };
+        let response_time = self.response_time(now).unwrap_or(typical * pace);
         let slots = f64::from(self.record.work_slots.max(1));
-        let rounds = (f64::from(self.in_flight + 1) / slots).max(1.0);
+        let rounds = ((f64::from(self.in_flight + 1) + others) / slots).max(1.0);
         let success_rate = (1.0 - self.failure_rate).max(0.1);
         let penalty = if self.is_same_zone { 0.0 } else { zone_penalty };
         response_time * rounds * self.cost_factor / (success_rate * success_rate) + penalty
--- a/crates/gw-balance/src/warmth_table.rs
+++ b/crates/gw-balance/src/warmth_table.rs
@@ -126,6 +126,15 @@
         self.remaining(now, &target.holder()).map(|_| limit.per_second)
     }
 
+    /// Returns for how long each run said last that it stays cold, and when, if there are limits.
+    pub fn statements(&self) -> Vec<(RangeHolder, Duration, Timestamp)> {
+        let runs = self.runs.iter().filter(|_| !self.limits.is_empty());
+        let statement = |run: &RunWarmth| {
+            (run.holder.clone(), run.cold_until.since(run.stated_at), run.stated_at)
+        };
+        runs.map(statement).collect()
+    }
+
     /// Returns for how long a run stays cold, if it is cold.
     pub fn remaining(&self, now: Timestamp, holder: &RangeHolder) -> Option<Duration> {
         let remaining = self.find(holder)?.cold_until.since(now);
--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -91,10 +91,8 @@
     }
     // The leader learns of it before the record of a new run, which may go to it over the same
     // connection.
-    if host.monitor.borrow().warmth.is_limited(&announcement.record.service) {
-        let holder = announcement.record.holder();
-        host.record_warmth(&holder, announcement.warm_up_left, Duration::ZERO);
-    }
+    host.update_warm_up_limits();
+    host.record_warmth(&announcement.record.holder(), announcement.warm_up_left, Duration::ZERO);
     let name = announcement.record.name.clone();
     let is_known = {
         let log = host.log.borrow();
--- a/crates/gw-gateway/src/control/cold_targets.rs
+++ b/crates/gw-gateway/src/control/cold_targets.rs
@@ -72,20 +72,26 @@
         duty.config = Some(version);
         let document = log.state().stored_config().map(|config| &config.document[..]);
         let limits = document.map(|document| self.adapter.read_warm_up_limits(document));
-        self.monitor.borrow_mut().warmth.set_limits(limits.unwrap_or_default());
+        let warmth = &mut self.monitor.borrow_mut().warmth;
+        warmth.set_limits(limits.unwrap_or_default());
+        // The leader does not know what was heard here before there were limits.
+        duty.unsent = warmth.statements();
     }
 
     /// Records for how long a run said, `age` ago, that it stays cold. Forwards it to the leader if
     /// the run announced itself here.
     pub(crate) fn record_warmth(&self, holder: &RangeHolder, left: Duration, age: Duration) {
         let now = self.now();
-        let (is_news, was_cold, is_cold) = {
+        let (is_news, was_cold, is_cold, is_limited) = {
             let warmth = &mut self.monitor.borrow_mut().warmth;
             let was_cold = warmth.remaining(now, holder).is_some();
             let is_news = warmth.record(now, holder, left, age);
             let is_cold = warmth.remaining(now, holder).is_some();
-            (is_news, was_cold, is_cold)
+            (is_news, was_cold, is_cold, !warmth.limits().is_empty())
         };
+        if !is_limited {
+            return;
+        }
         if is_cold && !was_cold {
             log::info!("event=target_cold target={holder} left_ms={}", left.as_millis());
             self.cold.borrow_mut().is_urgent = true;
@@ -147,6 +153,11 @@
 pub(crate) fn send_cold_targets(host: &ControlHost, is_round: bool) {
     host.update_warm_up_limits();
     let now = host.now();
+    if is_round {
+        let log = host.log.borrow();
+        let is_live = |holder: &RangeHolder| log.state().live_target(holder).is_some();
+        host.monitor.borrow_mut().warmth.retain(now, is_live);
+    }
     let monitor = host.monitor.borrow();
     let limits = ColdMessage::limits_of(monitor.warmth.limits());
     let mut duty = host.cold.borrow_mut();
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -185,6 +185,12 @@
                 });
             }
             LinkMessage::Report(report) => handle_report(host, &link, &report),
+            LinkMessage::TargetPaces { percents } => {
+                let (now, mut monitor) = (host.now(), host.monitor.borrow_mut());
+                for (holder, percent) in percents {
+                    monitor.record_pace(now, host.log.borrow().state(), &holder, percent);
+                }
+            }
             LinkMessage::Warmth { reports } => reports
                 .iter()
                 .for_each(|report| host.record_warmth(&report.holder, report.left(), report.age())),
--- a/crates/gw-gateway/src/control/target_monitor.rs
+++ b/crates/gw-gateway/src/control/target_monitor.rs
@@ -13,6 +13,7 @@
 use gw_ranges::ProcessingTimeEstimator;
 use gw_ranges::RangeCandidate;
 use gw_ranges::RangeHolder;
+use gw_ranges::StatedPace;
 use gw_types::ServiceName;
 use gw_types::TargetName;
 use gw_types::Timestamp;
@@ -55,6 +56,8 @@
     acceptance: BTreeMap<RangeHolder, AcceptanceEstimator>,
     /// Limits on the rate of requests that targets have named, as reported by entry hosts.
     limits: LimitTable,
+    /// Processing times that targets have stated, from the reports of entry hosts.
+    paces: BTreeMap<RangeHolder, StatedPace>,
     /// Which targets are cold, from their announcements and responses.
     pub(crate) warmth: WarmthTable,
     /// Start of the observation. A target that was not heard since then counts as heard at this
@@ -129,6 +132,21 @@
         acceptance.record_turned_away(now, report.rests, rest, host_count, answered);
     }
 
+    /// Records the processing time, in percent of the usual one, that a target has stated to an entry
+    /// host.
+    pub(crate) fn record_pace(
+        &mut self,
+        now: Timestamp,
+        state: &FleetState,
+        holder: &RangeHolder,
+        percent: u16,
+    ) {
+        if state.live_target(holder).is_none() || percent == 0 {
+            return;
+        }
+        self.paces.entry(holder.clone()).or_default().record(now, f64::from(percent) / 100.0);
+    }
+
     /// Records what a target said to an entry host about the rate of requests that it takes. Returns
     /// whether its limit has changed.
     pub(crate) fn record_limit(&mut self, limit: TargetLimit) -> bool {
@@ -160,8 +178,8 @@
         self.contacts.retain(|name, _| state.target(name).is_some());
         self.estimators.retain(|holder, _| state.live_target(holder).is_some());
         self.acceptance.retain(|holder, _| state.live_target(holder).is_some());
+        self.paces.retain(|holder, _| state.live_target(holder).is_some());
         self.limits.expire(now, |holder| state.live_target(holder).is_some());
-        self.warmth.retain(now, |holder| state.live_target(holder).is_some());
     }
 
     /// Returns the target runs that hold, or may be given, keys of `service`, sorted by holder.
@@ -246,6 +264,8 @@
     fn speed(&self, now: Timestamp, target: &TargetRecord, typical: Option<f64>) -> f64 {
         let own = self.processing_time(now, target);
         let speed = own.zip(typical).map_or(1.0, |(own, typical)| typical / own);
+        let pace = self.paces.get(&target.holder());
+        let speed = pace.map_or(speed, |pace| pace.limit(now, speed));
         let speed = speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
         let acceptance = self.acceptance.get(&target.holder());
         let taken = acceptance.map_or(1.0, |acceptance| acceptance.fraction(now));
--- a/crates/gw-gateway/src/entry/cold_watch.rs
+++ b/crates/gw-gateway/src/entry/cold_watch.rs
@@ -22,8 +22,8 @@
 /// What an entry host keeps about cold targets besides the state of each.
 #[derive(Default)]
 pub(crate) struct ColdWatch {
-    /// When the last list of a leader arrived.
-    listed_at: Cell<Timestamp>,
+    /// When the last list of a leader arrived; `None` if none did.
+    listed_at: Cell<Option<Timestamp>>,
     /// Runs that were presumed cold, and whether this host had the lease, when that was last logged.
     logged: RefCell<Vec<(RangeHolder, bool)>>,
     /// Runs that have said to this host that they are cold since the last report to the leader, with
@@ -38,9 +38,9 @@
         let is_leader = message.is_leader;
         let list = message.received();
         if is_leader {
-            self.cold.listed_at.set(now);
+            self.cold.listed_at.set(Some(now));
             self.pool.borrow_mut().apply_cold_list(now, list);
-        } else if now.since(self.cold.listed_at.get()) > MAX_LIST_AGE {
+        } else if self.cold.listed_at.get().is_none_or(|at| now.since(at) > MAX_LIST_AGE) {
             self.pool.borrow_mut().set_warm_up_limits(list.limits);
         }
         self.log_cold_targets();
@@ -77,7 +77,9 @@
         let now = self.now();
         let due = {
             let mut pool = self.pool.borrow_mut();
-            let is_cut_off = now.since(self.cold.listed_at.get()) > CUT_OFF_TIME;
+            // Before the first list, all runs that may be cold are presumed to be.
+            let listed_at = self.cold.listed_at.get();
+            let is_cut_off = listed_at.is_some_and(|at| now.since(at) > CUT_OFF_TIME);
             if is_cut_off && pool.has_warm_up_limits() {
                 pool.record_unconnected(now, |target| {
                     self.connections.has_idle(target.record.address)
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -12,6 +12,7 @@
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
+use gw_ranges::RangeHolder;
 use gw_ranges::TargetOrder;
 use gw_types::Timestamp;
 use gw_types::ZoneName;
@@ -401,6 +402,12 @@
             };
             link.link.send(&LinkMessage::Report(report));
             if is_leader && link.link.supports(FormatVersion::EVACUATIONS) {
+                let paces = self.host.pool.borrow_mut().take_paces();
+                let percent = |(holder, pace): (RangeHolder, f64)| (holder, (pace * 100.0) as u16);
+                let percents: Vec<_> = paces.into_iter().map(percent).collect();
+                if !percents.is_empty() {
+                    link.link.send(&LinkMessage::TargetPaces { percents });
+                }
                 let reports = self.host.take_warmth_reports();
                 if !reports.is_empty() {
                     link.link.send(&LinkMessage::Warmth { reports });
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -9,6 +9,7 @@
 use gw_balance::HolderThrottle;
 use gw_balance::HostCount;
 use gw_balance::LimitTable;
+use gw_balance::LoadUses;
 use gw_balance::PreferredTargets;
 use gw_balance::RequestQueue;
 use gw_balance::TargetLimit;
@@ -127,7 +128,8 @@
         dialer: Rc<dyn TargetDialer>,
     ) -> Rc<Self> {
         let transfers = TransferGate::new(settings.link_rate);
-        let pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
+        let mut pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
+        pool.set_load_uses(LoadUses::default());
         Rc::new(Self {
             settings: RefCell::new(settings),
             adapter,
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -340,6 +340,9 @@
     {
         log_statement(request, &permit, "target_leaving", "source=answer");
     }
+    if is_id_echoed && let Some(load) = &metadata.load {
+        host.pool.borrow_mut().record_load(host.now(), &permit.holder, load);
+    }
     if is_id_echoed && let Some(left) = metadata.warm_up_left {
         host.record_warmth(&permit.holder, left);
     }
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -256,4 +256,7 @@
     /// See [`ColdMessage`]. Only for hosts that support
     /// [`gw_fleet::FormatVersion::EVACUATIONS`].
     ColdTargets(ColdMessage),
+    /// Processing times that targets have stated to an entry host, in percent of the usual ones. Only
+    /// for leaders that support [`gw_fleet::FormatVersion::EVACUATIONS`].
+    TargetPaces { percents: Vec<(RangeHolder, u16)> },
 }
--- a/crates/gw-gateway/src/ports/response_metadata.rs
+++ b/crates/gw-gateway/src/ports/response_metadata.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use gw_balance::ReportedLoad;
 use gw_types::TargetName;
 use http::HeaderValue;
 
@@ -24,4 +25,6 @@
     pub is_leaving: bool,
     /// For how long the target stays cold, if it says so; zero if it says that it is warm.
     pub warm_up_left: Option<Duration>,
+    /// Load of the target, if it states it.
+    pub load: Option<ReportedLoad>,
 }
