--- a/crates/gw-gateway/src/control/granter_set.rs
+++ b/crates/gw-gateway/src/control/granter_set.rs
@@ -6,13 +6,11 @@
 use gw_ranges::GranterAction;
 use gw_ranges::GranterOptions;
 use gw_ranges::HolderShare;
-use gw_ranges::KeyRange;
 use gw_ranges::OrderOutcome;
 use gw_ranges::RangeGranter;
 use gw_ranges::RangeTable;
 use gw_ranges::TargetOrder;
 use gw_ranges::overloaded_holders;
-use gw_ranges::share_by_response_time;
 use gw_types::ServiceName;
 use gw_types::Timestamp;
 
@@ -79,12 +77,8 @@
         for entry in &mut self.services {
             let service = entry.granter.service().clone();
             let table = state.table(&service).unwrap_or(&unassigned);
-            let mut candidates = monitor.candidates(now, state, &service);
+            let candidates = monitor.candidates(now, state, &service);
             entry.counts.advance(now);
-            if let Some(capacity) = monitor.total_capacity(now, state, &candidates) {
-                let utilization = entry.counts.rate_of(KeyRange::ALL) / capacity;
-                share_by_response_time(&mut candidates, utilization);
-            }
             for action in
                 entry.granter.step(now, table, &candidates, &entry.counts, remaining_orders)
             {
--- a/crates/gw-gateway/src/control/target_monitor.rs
+++ b/crates/gw-gateway/src/control/target_monitor.rs
@@ -218,23 +218,6 @@
         Some(f64::from(target.work_slots.max(1)) / self.processing_time(now, target)?)
     }
 
-    /// Returns the number of requests per second that the serving candidates can process together;
-    /// `None` if that of none of them is known. The others are taken to be of average speed.
-    pub(crate) fn total_capacity(
-        &self,
-        now: Timestamp,
-        state: &FleetState,
-        candidates: &[RangeCandidate],
-    ) -> Option<f64> {
-        let serving =
-            candidates.iter().filter(|candidate| candidate.status == HolderStatus::Serving);
-        let count = serving.clone().count() as f64;
-        let known: Vec<f64> =
-            serving.filter_map(|candidate| self.capacity(now, state, &candidate.holder)).collect();
-        let average = known.iter().sum::<f64>() / known.len() as f64;
-        (!known.is_empty()).then_some(average * count)
-    }
-
     /// Returns the median processing time of a service's targets, in seconds.
     fn typical_processing_time(
         &self,
--- a/crates/gw-ranges/src/lib.rs
+++ b/crates/gw-ranges/src/lib.rs
@@ -21,7 +21,6 @@
 mod range_lease;
 mod range_plan;
 mod range_table;
-mod response_time_shares;
 mod target_order;
 
 pub use acceptance_estimator::AcceptanceEstimator;
@@ -41,7 +40,6 @@
 pub use range_plan::plan_moves;
 pub use range_table::RangeAssignment;
 pub use range_table::RangeTable;
-pub use response_time_shares::share_by_response_time;
 pub use target_order::OrderKind;
 pub use target_order::OrderOutcome;
 pub use target_order::TargetOrder;
--- a/crates/gw-ranges/src/processing_time_estimator.rs
+++ b/crates/gw-ranges/src/processing_time_estimator.rs
@@ -11,10 +11,6 @@
 /// times rise at once, while the response rate, which tells queueing from slow processing, follows
 /// later.
 const INCREASE_HALF_TIME: Duration = Duration::from_secs(4);
-/// Time for which an estimate stays valid while too few requests arrive for a new one. Slow targets
-/// get few requests; without an estimate they would count as targets of average speed, get keys again
-/// and lose them again.
-const ESTIMATE_LIFETIME: Duration = Duration::from_secs(10);
 /// Bisection steps of the search for the processing time.
 const BISECTION_STEPS: u32 = 24;
 
@@ -31,8 +27,6 @@
     requests: f64,
     /// Processing time of one request in seconds; `None` until enough requests are known.
     estimate: Option<f64>,
-    /// When the last estimate was made.
-    estimated_at: Timestamp,
     updated_at: Timestamp,
 }
 
@@ -52,13 +46,12 @@
         let previous = self.estimate.unwrap_or(current);
         let retained = if current > previous { decay(age, INCREASE_HALF_TIME) } else { 0.0 };
         self.estimate = Some(current + (previous - current) * retained);
-        self.estimated_at = now;
     }
 
-    /// Returns the processing time of one request in seconds; `None` if there were too few requests in
-    /// the last 10 s.
+    /// Returns the processing time of one request in seconds; `None` if there were too few recent
+    /// requests.
     pub fn processing_time(&self, now: Timestamp) -> Option<f64> {
-        self.estimate.filter(|_| now.since(self.estimated_at) < ESTIMATE_LIFETIME)
+        self.estimate.filter(|_| self.recent_requests(now) >= MIN_REQUESTS)
     }
 
     /// Returns the number of recent requests, each weighted by its age.
