perf(gw-gateway): requests wait for the first state of a host that starts

Cause: a host that starts answers 503 until its first state arrives, 0.5 to 1.2 s later; after a loss of all hosts, callers that are refused twice in that time give up. Requests past their objective had no time left to wait for a target, although a late answer still serves the caller. Change: in the first 1.8 s of the process requests wait for the state, for at most half of the time their caller has; a request past its objective may wait a quarter of the time left to its deadline.

--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -20,6 +20,9 @@
 /// Longest queue wait, as a multiple of the time left until the latency objective. A late response
 /// still has a part of its value to the caller; the deadline bounds the wait as well.
 const OBJECTIVE_WAIT_FACTOR: f64 = 1.5;
+/// Longest queue wait of a request that is past its objective, as a multiple of the time left until
+/// its deadline.
+const LATE_WAIT_SHARE: f64 = 0.25;
 /// Longest wait while a key range moves to another holder. Most moves take a few milliseconds more
 /// than the longest request that is running on the old holder.
 const MAX_MOVE_WAIT: Duration = Duration::from_millis(250);
@@ -198,7 +201,8 @@
     let until = |at: Instant| at.saturating_duration_since(Instant::now());
     let before_deadline =
         until(params.deadline).saturating_sub(Duration::from_secs_f64(response_time * 1.2));
-    until(params.objective).mul_f64(OBJECTIVE_WAIT_FACTOR).min(before_deadline)
+    let useful = until(params.objective).mul_f64(OBJECTIVE_WAIT_FACTOR);
+    useful.max(until(params.deadline).mul_f64(LATE_WAIT_SHARE)).min(before_deadline)
 }
 
 /// Estimates from the queue, response times and pending moves when a target will have capacity for
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -104,6 +104,10 @@
     preferred_targets: RefCell<PreferredTargets>,
     /// Number of entry hosts in all zones, as reported by control hosts.
     pub(crate) host_count: Cell<usize>,
+    /// When this process started.
+    pub(crate) started_at: Instant,
+    /// Notified when the replicated state has changed.
+    pub(crate) state_changed: Notify,
     /// Notified when a change may let a queued request start.
     pub(crate) admission_wakeup: Notify,
     /// Whether the host is shutting down: it reports itself as not ready and closes connections
@@ -153,6 +157,8 @@
             request_counts: RefCell::default(),
             preferred_targets: RefCell::default(),
             host_count: Cell::new(1),
+            started_at: Instant::now(),
+            state_changed: Notify::new(),
             admission_wakeup: Notify::new(),
             is_stopping: Cell::new(false),
             closing: watch::Sender::new(false),
@@ -367,9 +373,25 @@
             }
         }
         drop(state);
+        self.state_changed.notify_waiters();
         self.admission_wakeup.notify_one();
     }
 
+    /// Waits until this host has a configuration, at most until `end`.
+    pub(crate) async fn wait_for_config(&self, end: Instant) {
+        let is_configured = async {
+            loop {
+                let changed = self.state_changed.notified();
+                if self.config().is_some() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        // Without a configuration by then, the request is refused.
+        tokio::time::timeout_at(end, is_configured).await.ok();
+    }
+
     /// Selects the service for the next request of a route, by the weights of its shares.
     pub(crate) fn choose_service(&self, host: &str, rule: &RouteRule) -> Option<ServiceName> {
         if let [share] = &rule.shares[..] {
--- a/crates/gw-gateway/src/entry/read_request.rs
+++ b/crates/gw-gateway/src/entry/read_request.rs
@@ -19,6 +19,12 @@
 
 /// Response timeout when neither the caller nor the route sets one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time from the start of the process within which a first state arrives if all hosts start at the
+/// same time: an election and a transfer over a narrow link. Requests wait for it: a caller that is
+/// refused meanwhile has used up its retries by then.
+const STARTUP_TIME: Duration = Duration::from_millis(1_800);
+/// Part of the time that a caller waits for which its request may wait for the first state.
+const STARTUP_WAIT_SHARE: f64 = 0.5;
 /// `Retry-After` while this host has no configuration or cannot determine a service or route.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Part of the caller's timeout reserved for returning the response to the caller.
@@ -53,6 +59,19 @@
     }
 }
 
+/// Returns how long the caller waits for the response, as far as it is known without a route.
+fn caller_timeout(host: &EntryHost, head: &request::Parts) -> Duration {
+    host.adapter.read_request_metadata(head).timeout.unwrap_or(DEFAULT_TIMEOUT)
+}
+
+/// Waits, in the first moments of the process, until this host has a configuration.
+pub(crate) async fn wait_for_config(host: &EntryHost, head: &request::Parts, started: Instant) {
+    if host.config().is_none() {
+        let patience = caller_timeout(host, head).mul_f64(STARTUP_WAIT_SHARE);
+        host.wait_for_config((host.started_at + STARTUP_TIME).min(started + patience)).await;
+    }
+}
+
 /// Looks up the route and service of a request.
 pub(crate) fn read_request(
     host: &Rc<EntryHost>,
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -24,6 +24,7 @@
 use crate::entry::read_request::ReadRequest;
 use crate::entry::read_request::RequestOrigin;
 use crate::entry::read_request::read_request;
+use crate::entry::read_request::wait_for_config;
 use crate::entry::relay_attempt::RelayOutcome;
 use crate::entry::relay_attempt::relay;
 use crate::entry::relay_headers::PATH_LOST;
@@ -127,6 +128,9 @@
 ) -> Response<ResponseBody> {
     let started = Instant::now();
     let number = host.next_number();
+    let (head, body) = request.into_parts();
+    wait_for_config(&host, &head, started).await;
+    let request = Request::from_parts(head, body);
     let (service, response, outcome) = match read_request(&host, request, origin, started, number) {
         Ok(read) => {
             if read.rule.repeat == RepeatRule::AtMostOnce {
