feat(gw-ranges): ranges leave evacuated holders at a limited pace, the busiest first

Cause: a zone can be evacuated, and its keys must reach other zones within about 3 s while each of them is out of service only for its own handover. Change: holders have the status Evacuated. Holders that do not respond count as draining.

--- a/crates/gw-ranges/src/lib.rs
+++ b/crates/gw-ranges/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod acceptance_estimator;
 mod decayed_counts;
+mod evacuation_pace;
 mod granter_options;
 mod holder_share;
 mod key_range;
--- a/crates/gw-ranges/src/range_granter.rs
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -448,7 +448,10 @@
         let mut uncertain = leases.filter(|lease| now < lease.uncertain_until);
         uncertain.any(|lease| {
             let status = status_of(&lease.holder, candidates);
-            let is_responsive = matches!(status, HolderStatus::Serving | HolderStatus::Draining);
+            let is_responsive = matches!(
+                status,
+                HolderStatus::Serving | HolderStatus::Draining | HolderStatus::Evacuated
+            );
             is_responsive
                 && lease.consecutive_failures == 0
                 && now.since(lease.learned_at) < UNCERTAIN_GRANT_TIMEOUT
@@ -476,13 +479,21 @@
                     candidate.status = HolderStatus::Serving;
                 }
             }
+            // An evacuated holder that does not respond will not confirm the grants that its ranges
+            // would wait for.
+            if candidate.status == HolderStatus::Evacuated
+                && self.consecutive_failures(&candidate.holder) >= UNRESPONSIVE_FAILURES
+            {
+                candidate.status = HolderStatus::Draining;
+            }
         }
         let moves = plan_moves(table, &effective, counts, |assignment| {
-            // The range of an uncertain grant could not be served until the grant has expired.
+            // The range of an uncertain grant could not be served until the grant has expired. A
+            // range for which a new token is proposed will not have the present one any more.
             let lease = self.leases.binary_search_by(|lease| lease.range.cmp(&assignment.range));
-            lease
-                .map(|index| &self.leases[index])
-                .is_ok_and(|lease| lease.is_confirmed && now >= lease.uncertain_until)
+            lease.map(|index| &self.leases[index]).is_ok_and(|lease| {
+                lease.is_confirmed && now >= lease.uncertain_until && lease.proposed_at.is_none()
+            })
         });
         let (initial, announced): (Vec<_>, Vec<_>) = moves
             .into_iter()
--- a/crates/gw-ranges/src/range_holder.rs
+++ b/crates/gw-ranges/src/range_holder.rs
@@ -28,6 +28,9 @@
     Serving,
     /// Is draining or has deregistered itself. Still serves its keys, but receives no more.
     Draining,
+    /// Serves its keys until they have moved, and receives no more, because its zone is evacuated.
+    /// Its ranges leave at a limited pace; see [`crate::plan_moves`].
+    Evacuated,
     /// Was not heard from for too long. It may still run and serve keys.
     Silent,
     /// Has certainly ended: a later run of the target, or another target, has its address.
--- a/crates/gw-ranges/src/range_plan.rs
+++ b/crates/gw-ranges/src/range_plan.rs
@@ -5,6 +5,7 @@
 use crate::RangeCandidate;
 use crate::RangeTable;
 use crate::RangeTransfer;
+use crate::evacuation_pace::EvacuationPace;
 
 /// Ratio of a target's load to the average above which keys are moved away from it.
 const OVERLOAD_RATIO: f64 = 1.2;
@@ -35,14 +36,18 @@
     /// Decayed number of requests for the keys that the target holds or is about to receive,
     /// divided by its speed.
     load: f64,
+    /// Number of ranges that it holds or is about to receive.
+    ranges: usize,
 }
 
 /// Decides which ranges move to which targets.
 ///
 /// Ranges without a serving holder, because they were never assigned or because their holder is
-/// draining, silent or has ended, are split over the least loaded serving targets. If there are
-/// none, keys move from the most to the least loaded target. `may_move` returns whether a range can
-/// be released without delay; it limits only the moves for load balancing.
+/// draining, silent or has ended, are split over the least loaded serving targets. So are the ranges
+/// of evacuated holders, the busiest first and at a limited pace, since their holders serve them
+/// until then. If there are none, keys move from the most to the least loaded target. `may_move`
+/// returns whether a range can be released without delay; it limits only the moves for load balancing
+/// and those out of evacuated zones.
 pub fn plan_moves(
     table: &RangeTable,
     candidates: &[RangeCandidate],
@@ -53,7 +58,7 @@
     let mut loads: Vec<TargetLoad<'_>> = candidates
         .iter()
         .filter(is_serving)
-        .map(|candidate| TargetLoad { candidate, load: 0.0 })
+        .map(|candidate| TargetLoad { candidate, load: 0.0, ranges: 0 })
         .collect();
     if loads.is_empty() {
         return Vec::new();
@@ -63,13 +68,26 @@
         if let Some(index) = owner_index(&loads, assignment) {
             loads[index].load +=
                 counts.requests_of(assignment.range) / loads[index].candidate.speed;
+            loads[index].ranges += 1;
         }
     }
     let mut moves = Vec::new();
     let is_unserved = |assignment: &&RangeAssignment| owner_index(&loads, assignment).is_none();
-    let unserved: Vec<&RangeAssignment> = table.assignments().iter().filter(is_unserved).collect();
+    let pace = EvacuationPace::new(candidates);
+    let (evacuated, unserved): (Vec<&RangeAssignment>, Vec<&RangeAssignment>) =
+        table.assignments().iter().filter(is_unserved).partition(|range| pace.is_due(range));
     for assignment in unserved {
-        split_over_targets(assignment, counts, &mut loads, &mut moves);
+        let average = average_load(&loads, counts.requests_of(assignment.range));
+        split_over_targets(assignment, counts, average, &mut loads, &mut moves);
+    }
+    let requests = evacuated.iter().map(|assignment| counts.requests_of(assignment.range)).sum();
+    let average = average_load(&loads, requests);
+    let end = moves.len() + pace.free_moves(table);
+    for assignment in pace.order(&evacuated, counts, &may_move) {
+        if moves.len() >= end {
+            break;
+        }
+        split_over_targets(assignment, counts, average, &mut loads, &mut moves);
     }
     let moving =
         table.assignments().iter().filter(|assignment| assignment.successor.is_some()).count();
@@ -99,18 +117,21 @@
     (requests + extra_requests) / total_speed(loads)
 }
 
-/// Splits an assignment over the least loaded targets, each up to the average load or by a part of
-/// it.
+/// Splits an assignment over the least loaded targets, each up to `average` or by a part of it.
 fn split_over_targets(
     assignment: &RangeAssignment,
     counts: &DecayedCounts,
+    average: f64,
     loads: &mut [TargetLoad<'_>],
     moves: &mut Vec<RangeTransfer>,
 ) {
-    let average = average_load(loads, counts.requests_of(assignment.range));
     let mut remainder = Some(assignment.range);
     while let Some(range) = remainder {
-        let least_loaded = loads.iter_mut().min_by(|a, b| a.load.total_cmp(&b.load));
+        // Without requests, the loads do not tell targets apart.
+        let by_load = |a: &&mut TargetLoad<'_>, b: &&mut TargetLoad<'_>| {
+            a.load.total_cmp(&b.load).then(a.ranges.cmp(&b.ranges))
+        };
+        let least_loaded = loads.iter_mut().min_by(by_load);
         let Some(target) = least_loaded else { return };
         let spare = (average - target.load).max(average * MIN_PART_RATIO);
         let spare_requests = spare * target.candidate.speed;
@@ -124,6 +145,7 @@
             _ => range,
         };
         target.load += counts.requests_of(part) / target.candidate.speed;
+        target.ranges += 1;
         let to = target.candidate.holder.clone();
         moves.push(RangeTransfer { range: part, to, fence: assignment.fence });
         remainder =
