feat(gw-balance): entry hosts stop sending to evacuated zones

Cause: no request may reach a target of an evacuated zone later than the time limit. Change: EvacuatedZones decides from the age of an evacuation, as far as the host can know it, when holders of keys get their last request; a pool chooses no target of the zone for other requests.

--- a/crates/gw-balance/src/lib.rs
+++ b/crates/gw-balance/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Every entry host sends requests to targets directly. [`TargetPool`] tracks each target by this
 //! host's own requests: response times, requests in flight and failures. [`HolderThrottle`] limits
-//! the requests to overloaded holders of keys. [`RequestQueue`] holds requests that wait for a free
+//! the requests to overloaded holders of keys. [`EvacuatedZones`] says from when on targets get
+//! nothing because of their zone. [`RequestQueue`] holds requests that wait for a free
 //! target, most urgent first. [`LinkPacer`] and [`TransferLoad`] keep large responses from filling
 //! the host's link. [`PathMonitor`] tells whether the host has lost its path to targets, and
 //! [`RelayTable`] and [`RelayPool`] choose the hosts that forward its requests meanwhile. The crate
@@ -12,6 +13,7 @@
 
 mod answered_requests;
 mod attempt_outcome;
+mod evacuated_zones;
 mod holder_throttle;
 mod host_count;
 mod limit_table;
@@ -29,6 +31,9 @@
 
 pub use answered_requests::AnsweredRequests;
 pub use attempt_outcome::AttemptOutcome;
+pub use evacuated_zones::EvacuatedZones;
+pub use evacuated_zones::EvacuationChanges;
+pub use evacuated_zones::LearningTime;
 pub use holder_throttle::HolderThrottle;
 pub use host_count::HostCount;
 pub use limit_table::LimitTable;
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -11,6 +11,7 @@
 
 use crate::AnsweredRequests;
 use crate::AttemptOutcome;
+use crate::EvacuatedZones;
 use crate::LimitTable;
 use crate::PreferredTargets;
 use crate::TargetView;
@@ -54,6 +55,8 @@
     Paused,
     /// It has asked for rest, or the limit on the rate of requests that it has named allows none now.
     Limited,
+    /// Its zone is evacuated, and this host sends it nothing any more.
+    Evacuated,
     /// This run of the target is not known, has ended, or has been draining for too long.
     Unknown,
 }
@@ -259,6 +262,9 @@
         if target.draining_since.is_some_and(|since| now.since(since) > DRAIN_GRACE_PERIOD) {
             return HolderAvailability::Unknown;
         }
+        if target.is_closed(now, true) {
+            return HolderAvailability::Evacuated;
+        }
         if target.is_paused(now) {
             return HolderAvailability::Paused;
         }
@@ -292,6 +298,25 @@
         self.targets_of(service).any(TargetView::is_serving)
     }
 
+    /// Applies the evacuations of zones to the targets in them.
+    pub fn set_evacuated(&mut self, zones: &EvacuatedZones) {
+        for target in &mut self.targets {
+            target.evacuated_at = zones.stops_at(&target.record.zone);
+        }
+    }
+
+    /// Returns whether the evacuation of its zone allows no request to a target, one for a key that
+    /// it holds if `is_keyed`.
+    pub fn is_closed(&self, now: Timestamp, holder: &RangeHolder, is_keyed: bool) -> bool {
+        self.live_target(holder).is_some_and(|target| target.is_closed(now, is_keyed))
+    }
+
+    /// Returns whether `service` has targets, and evacuations of their zones allow no request to any
+    /// of them that is not for a key.
+    pub fn is_evacuated(&self, service: &ServiceName) -> bool {
+        !self.has_targets(service) && self.targets_of(service).any(TargetView::would_serve)
+    }
+
     /// Returns whether connections of this host to all targets of `service` failed last, though they
     /// accept new requests.
     pub fn is_service_unreachable(&self, now: Timestamp, service: &ServiceName) -> bool {
--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -55,6 +55,9 @@
     unreachable_until: Timestamp,
     /// Spaces this host's requests; `None` unless the target has named a limit on their rate.
     pacer: Option<TargetPacer>,
+    /// When the target gets its last request for keys, because its zone is evacuated; it gets no
+    /// other requests. `None` if the zone is not evacuated.
+    pub(crate) evacuated_at: Option<Timestamp>,
     /// Whether another target responded at its address, so that this run has ended.
     has_ended: bool,
     last_outcome_at: Timestamp,
@@ -85,6 +88,7 @@
             rests_until: Timestamp::ZERO,
             unreachable_until: Timestamp::ZERO,
             pacer: None,
+            evacuated_at: None,
             has_ended: false,
             last_outcome_at: now,
             responded_at: Timestamp::ZERO,
@@ -112,9 +116,20 @@
 
     /// Returns whether the target accepts new requests, even if it is paused or limited.
     pub(crate) fn is_serving(&self) -> bool {
+        self.would_serve() && self.evacuated_at.is_none()
+    }
+
+    /// Returns whether the target accepts new requests, or would if its zone were not evacuated.
+    pub(crate) fn would_serve(&self) -> bool {
         self.draining_since.is_none() && !self.has_ended
     }
 
+    /// Returns whether the evacuation of its zone allows no request to the target, one for a key that
+    /// it holds if `is_keyed`.
+    pub(crate) fn is_closed(&self, now: Timestamp, is_keyed: bool) -> bool {
+        self.evacuated_at.is_some_and(|at| !is_keyed || now >= at)
+    }
+
     /// Records that the target has said to this host that it leaves. Returns whether that is news.
     pub(crate) fn record_leaving(&mut self, now: Timestamp) -> bool {
         let is_new = self.draining_since.is_none();
