feat(gw-gateway, gw-platform): calls that start, end and list evacuations

Cause: the replicated state has evacuations, but no call led to them and no host acted on them. Change: control calls, of which the leader sets the time; the status of holders in the plan of key ranges; refusals with Retry-After on entry hosts before any attempt, relay or repetition, and for requests that wait; log lines, a gauge and a counter.

--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -5,6 +5,7 @@
 use gw_fleet::DepartureCause;
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
+use gw_fleet::ZoneEvacuation;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -74,6 +75,20 @@
             }
         }
         ControlCall::ReadConfig => read_config(host).await,
+        ControlCall::StartEvacuation { zone } => {
+            // The leader sets the time when it proposes the command.
+            let evacuation = ZoneEvacuation { zone, since_unix_ms: 0 };
+            let command = FleetCommand::StartEvacuation(evacuation);
+            commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
+        }
+        ControlCall::EndEvacuation { zone } => {
+            let command = FleetCommand::EndEvacuation { zone };
+            commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
+        }
+        ControlCall::ReadEvacuations => match catch_up(host).await {
+            Ok(()) => ControlReply::Evacuations(host.log.borrow().state().evacuations().to_vec()),
+            Err(reply) => reply,
+        },
     }
 }
 
@@ -144,14 +159,25 @@
     Ok(())
 }
 
-/// Performs a linearizable read of the configuration: waits until this host has applied everything
-/// that was acknowledged before the call.
+/// Performs a linearizable read of the configuration.
 async fn read_config(host: &Rc<ControlHost>) -> ControlReply {
+    if let Err(reply) = catch_up(host).await {
+        return reply;
+    }
+    let log = host.log.borrow();
+    match log.state().stored_config() {
+        Some(config) => ControlReply::Config(Bytes::copy_from_slice(&config.document)),
+        None => ControlReply::NoConfig,
+    }
+}
+
+/// Waits until this host has applied everything that was acknowledged before the call.
+async fn catch_up(host: &Rc<ControlHost>) -> Result<(), ControlReply> {
     let (sender, receiver) = oneshot::channel();
     if host.is_leader() {
         host.read_as_leader(ReplySink::Local(sender));
-    } else if let Err(reply) = ask_leader(host, sender, |call| LinkMessage::ReadFence { call }) {
-        return reply;
+    } else {
+        ask_leader(host, sender, |call| LinkMessage::ReadFence { call })?;
     }
     let caught_up = async {
         let Ok(CallResult::ReadIndex(index)) = receiver.await else { return false };
@@ -161,11 +187,7 @@
         true
     };
     if !tokio::time::timeout(CALL_TIMEOUT, caught_up).await.unwrap_or(false) {
-        return ControlReply::Unavailable { reason: "cannot tell the newest configuration" };
-    }
-    let log = host.log.borrow();
-    match log.state().stored_config() {
-        Some(config) => ControlReply::Config(Bytes::copy_from_slice(&config.document)),
-        None => ControlReply::NoConfig,
+        return Err(ControlReply::Unavailable { reason: "cannot tell the newest state" });
     }
+    Ok(())
 }
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -7,6 +7,7 @@
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
 use gw_fleet::FleetState;
+use gw_fleet::ZoneEvacuation;
 use gw_types::HostId;
 
 use crate::control::control_host::ControlHost;
@@ -17,6 +18,7 @@
 use crate::link::CallFailure;
 use crate::link::CallResult;
 use crate::link::LinkMessage;
+use crate::wall_clock::unix_millis;
 
 /// Number of applied entries after which the log is compacted into a snapshot.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 256;
@@ -203,7 +205,8 @@
         links.iter().all(|link| link.hello.is_none() || link.link.supports(command.format()))
     }
 
-    /// Appends a command to the log as leader. The outcome goes to `reply_to` once it is committed.
+    /// Appends a command to the log as leader, an evacuation with the present time. The outcome goes
+    /// to `reply_to` once it is committed.
     pub(crate) fn propose_as_leader(&self, command: &FleetCommand, reply_to: ReplySink) {
         if !self.is_readable_by_all(command) {
             log::warn!("event=proposal_refused cause=\"a host of an earlier build is connected\"");
@@ -211,6 +214,15 @@
             return;
         }
         let now = self.now();
+        let stamped;
+        let command = match command {
+            FleetCommand::StartEvacuation(ZoneEvacuation { zone, .. }) => {
+                let (zone, since_unix_ms) = (zone.clone(), unix_millis());
+                stamped = FleetCommand::StartEvacuation(ZoneEvacuation { zone, since_unix_ms });
+                &stamped
+            }
+            command => command,
+        };
         let proposed = {
             let mut slot = self.replica.borrow_mut();
             let replica = slot.as_mut().filter(|replica| replica.node.is_leader());
@@ -300,8 +312,9 @@
             log::info!("event=ranges_changed index={index} outcome={outcome:?} change={change:?}");
         }
         FleetCommand::StartEvacuation(evacuation) => log::info!(
-            "event=evacuation_started index={index} zone={} outcome={outcome:?}",
+            "event=evacuation_started index={index} zone={} since_unix_ms={} outcome={outcome:?}",
             evacuation.zone,
+            evacuation.since_unix_ms,
         ),
         FleetCommand::EndEvacuation { zone } => {
             log::info!("event=evacuation_ended index={index} zone={zone} outcome={outcome:?}");
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -146,6 +146,7 @@
     let log = host.log.borrow();
     host.metrics.state_index.set(log.applied() as i64);
     host.metrics.config_version.set(log.state().config_version().0 as i64);
+    host.metrics.evacuated_zones.set(log.state().evacuations().len() as i64);
 }
 
 /// Starts the replica if it is not running: at process start, after a disk failure, and after its
--- a/crates/gw-gateway/src/control/target_monitor.rs
+++ b/crates/gw-gateway/src/control/target_monitor.rs
@@ -173,13 +173,7 @@
             .map(|target| RangeCandidate {
                 holder: target.holder(),
                 zone: target.zone.clone(),
-                status: match target.phase {
-                    TargetPhase::Draining => HolderStatus::Draining,
-                    TargetPhase::Serving if self.silence(now, &target.name) > SILENCE_TIMEOUT => {
-                        HolderStatus::Silent
-                    }
-                    TargetPhase::Serving => HolderStatus::Serving,
-                },
+                status: self.status(now, state, target),
                 speed: self.speed(now, target, typical),
             })
             .collect();
@@ -200,6 +194,20 @@
         candidates
     }
 
+    /// Returns the status of a target that has not departed.
+    fn status(&self, now: Timestamp, state: &FleetState, target: &TargetRecord) -> HolderStatus {
+        let is_silent = self.silence(now, &target.name) > SILENCE_TIMEOUT;
+        match (target.phase, state.is_evacuated(&target.zone)) {
+            (TargetPhase::Draining, _) => HolderStatus::Draining,
+            // A silent holder may turn out to be alive and be given keys, so that an evacuated one
+            // counts as draining.
+            (TargetPhase::Serving, true) if is_silent => HolderStatus::Draining,
+            (TargetPhase::Serving, true) => HolderStatus::Evacuated,
+            (TargetPhase::Serving, false) if is_silent => HolderStatus::Silent,
+            (TargetPhase::Serving, false) => HolderStatus::Serving,
+        }
+    }
+
     /// Returns the time in seconds that a target needs for one request, excluding queueing at the
     /// target.
     fn processing_time(&self, now: Timestamp, target: &TargetRecord) -> Option<f64> {
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -30,6 +30,8 @@
 const MAX_LIMIT_WAIT: Duration = Duration::from_millis(500);
 /// `Retry-After` when the key has no usable holder: about the duration of a move.
 pub(crate) const MOVE_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Reason of a refusal because all targets for the request are in evacuated zones.
+pub(crate) const ZONE_EVACUATED: &str = "zone_evacuated";
 /// Shortest `Retry-After` of a request refused under load.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest `Retry-After` of a request refused under load.
@@ -144,10 +146,42 @@
     host.metrics.waiting.set(host.queue.borrow().len() as i64);
     match admitted {
         Ok(Ok(permit)) => Ok(permit),
-        _ => Err(LocalReply::not_executed("waited_too_long", retry_after)),
+        _ => Err(evacuation_refusal(host, params)
+            .unwrap_or_else(|| LocalReply::not_executed("waited_too_long", retry_after))),
     }
 }
 
+/// Returns the refusal of a request that no target may get because zones are evacuated; `None` if one
+/// may.
+pub(crate) fn evacuation_refusal(host: &EntryHost, params: &AdmissionParams) -> Option<LocalReply> {
+    if !is_evacuated(host, host.now(), &params.service, params.key) {
+        return None;
+    }
+    let retry_after = match host.pool.borrow().has_targets(&params.service) {
+        true => MOVE_RETRY_AFTER,
+        false => MAX_RETRY_AFTER,
+    };
+    Some(LocalReply::not_executed(ZONE_EVACUATED, retry_after))
+}
+
+/// Whether no target may get a request because zones are evacuated. A key that moves will have another
+/// holder.
+fn is_evacuated(host: &EntryHost, now: Timestamp, service: &ServiceName, key: Option<u16>) -> bool {
+    if !host.has_evacuations() {
+        return false;
+    }
+    let pool = host.pool.borrow();
+    let Some(key) = key else { return pool.is_evacuated(service) };
+    let state = host.state();
+    let assignment = state.table(service).map(|table| table.find(key));
+    let Some(assignment) = assignment.filter(|assignment| assignment.successor.is_none()) else {
+        return false;
+    };
+    let availability =
+        assignment.holder.as_ref().map(|holder| pool.holder_availability(now, holder));
+    availability == Some(HolderAvailability::Evacuated)
+}
+
 /// Whether a queued request that takes precedence needs the same key range, or, without a key, the
 /// same service.
 fn has_queued_ahead(host: &EntryHost, params: &AdmissionParams) -> bool {
@@ -291,7 +325,13 @@
         let now = host.now();
         // Services without keys for which no target has capacity.
         let mut full: Vec<ServiceName> = Vec::new();
+        // Requests that no target may get any more.
+        let mut evacuated: Vec<u64> = Vec::new();
         let admitted = host.queue.borrow_mut().take_admitted(|request| {
+            if is_evacuated(&host, now, &request.service, request.key) {
+                evacuated.push(request.number);
+                return None;
+            }
             if request.key.is_none() && full.contains(&request.service) {
                 return None;
             }
@@ -301,6 +341,10 @@
             }
             found.map(|(holder, address)| SendPermit::new(&host, holder, address))
         });
+        for number in evacuated {
+            // Ends the wait of the request, which is then refused.
+            host.waiters.borrow_mut().remove(&number);
+        }
         for (number, permit) in admitted {
             let sender = host.waiters.borrow_mut().remove(&number);
             if let Some(sender) = sender {
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -226,6 +226,9 @@
         let knows_zone = head.is_leader || link.zone.as_ref() == Some(&own_zone);
         if head.is_current {
             self.host.last_contact.set(self.host.now());
+            if self.host.learned.borrow().contains(head.index) {
+                self.host.current_at.set(Some(self.host.now()));
+            }
         }
         if head.is_leader {
             let host_count = usize::try_from(head.host_count).unwrap_or(usize::MAX);
@@ -355,6 +358,7 @@
         }
         self.select_stream();
         self.check_progress();
+        self.host.log_stopped_zones();
         self.report();
         if self.host.now().since(self.shares_received_at) > MAX_SHARES_AGE {
             self.host.throttle.borrow_mut().update(Vec::new(), 0.0);
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gw_balance::EvacuatedZones;
 use gw_balance::HolderThrottle;
 use gw_balance::HostCount;
+use gw_balance::LearningTime;
 use gw_balance::LimitTable;
 use gw_balance::PreferredTargets;
 use gw_balance::RequestQueue;
@@ -44,6 +46,7 @@
 use crate::ports::ProtocolAdapter;
 use crate::ports::TargetDialer;
 use crate::targets::TargetConnections;
+use crate::wall_clock::unix_millis;
 
 /// Shortest time between two updates of the target pool.
 const POOL_UPDATE_INTERVAL: Duration = Duration::from_millis(30);
@@ -71,6 +74,11 @@
     /// When a control host in contact with a majority was last heard.
     pub(crate) last_contact: Cell<Timestamp>,
     pub(crate) pool: RefCell<TargetPool>,
+    /// When the state last contained everything that a control host in contact with a majority had
+    /// announced.
+    pub(crate) current_at: Cell<Option<Timestamp>>,
+    /// The evacuated zones of the state.
+    evacuated: RefCell<EvacuatedZones>,
     /// When the pool was last brought up to date.
     pool_updated_at: Cell<Instant>,
     /// Whether targets have changed since.
@@ -134,6 +142,8 @@
             has_caught_up: Cell::new(false),
             last_contact: Cell::new(Timestamp::ZERO),
             pool: RefCell::new(pool),
+            current_at: Cell::new(None),
+            evacuated: RefCell::default(),
             pool_updated_at: Cell::new(Instant::now()),
             is_pool_stale: Cell::new(false),
             queue: RefCell::default(),
@@ -333,7 +343,10 @@
         self.pool_updated_at.set(now);
         let state = self.state();
         let preferred = self.preferred_targets.borrow();
-        self.pool.borrow_mut().update(self.now(), state.targets(), &preferred);
+        let mut pool = self.pool.borrow_mut();
+        pool.update(self.now(), state.targets(), &preferred);
+        pool.set_evacuated(&self.evacuated.borrow());
+        drop(pool);
         self.apply_limits();
     }
 
@@ -350,6 +363,7 @@
     /// queued requests.
     fn refresh_from_state(&self) {
         self.update_pool();
+        self.update_evacuations();
         let now = self.now();
         let state = self.state();
         self.metrics.config_version.set(state.config_version().0 as i64);
@@ -370,6 +384,41 @@
         self.admission_wakeup.notify_one();
     }
 
+    /// Takes over the evacuations of the state.
+    fn update_evacuations(&self) {
+        let learning = LearningTime {
+            now: self.now(),
+            current_at: self.current_at.get(),
+            unix_ms: unix_millis(),
+            evacuation_time: self.settings.borrow().evacuation_time,
+        };
+        let mut zones = self.evacuated.borrow_mut();
+        let changes = zones.update(self.state().evacuations(), &learning);
+        for (zone, stops_at) in &changes.started {
+            let millis = stops_at.since(learning.now).as_millis();
+            log::info!("event=evacuation_known zone={zone} stops_in_ms={millis}");
+        }
+        for zone in &changes.ended {
+            log::info!("event=evacuation_withdrawn zone={zone}");
+        }
+        if !changes.started.is_empty() || !changes.ended.is_empty() {
+            self.pool.borrow_mut().set_evacuated(&zones);
+        }
+        self.metrics.evacuated_zones.set(zones.len() as i64);
+    }
+
+    /// Whether any zone is evacuated.
+    pub(crate) fn has_evacuations(&self) -> bool {
+        !self.evacuated.borrow().is_empty()
+    }
+
+    /// Logs the zones to which this host has stopped sending since the last call.
+    pub(crate) fn log_stopped_zones(&self) {
+        for zone in self.evacuated.borrow_mut().take_stopped(self.now()) {
+            log::info!("event=evacuation_in_effect zone={zone}");
+        }
+    }
+
     /// Selects the service for the next request of a route, by the weights of its shares.
     pub(crate) fn choose_service(&self, host: &str, rule: &RouteRule) -> Option<ServiceName> {
         if let [share] = &rule.shares[..] {
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -17,7 +17,9 @@
 use crate::callers::RequestTurn;
 use crate::callers::ResponseBody;
 use crate::entry::admission::AdmissionParams;
+use crate::entry::admission::ZONE_EVACUATED;
 use crate::entry::admission::admit;
+use crate::entry::admission::evacuation_refusal;
 use crate::entry::admission::max_wait;
 use crate::entry::entry_host::EntryHost;
 use crate::entry::local_reply::LocalReply;
@@ -201,6 +203,10 @@
             let refusal = LocalReply::not_executed("stopping", STOP_RETRY_AFTER);
             return refuse(host, request, last.unwrap_or(refusal));
         }
+        // Also keeps the request from other entry hosts, which may not know of the evacuation yet.
+        if let Some(refusal) = evacuation_refusal(host, params) {
+            return refuse(host, request, last.unwrap_or(refusal));
+        }
         if may_relay && (is_unreachable || host.lacks_path(params)) {
             may_relay = false;
             if reached > 0 && !host.try_retry(&params.service) {
@@ -348,6 +354,9 @@
     request: &ReadRequest,
     reply: LocalReply,
 ) -> (Response<ResponseBody>, &'static str) {
+    if reply.reason == ZONE_EVACUATED {
+        host.metrics.evacuation_refusals.inc();
+    }
     log::info!(
         "event=refused id={} number={} route={} service={} status={} reason={} age_ms={} key={} {} \
          waiting={} state={}",
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -22,6 +22,7 @@
 
 use crate::callers::ResponseBody;
 use crate::entry::admission::SendPermit;
+use crate::entry::admission::ZONE_EVACUATED;
 use crate::entry::entry_host::EntryHost;
 use crate::entry::forwarded_stream::ForwardedStream;
 use crate::entry::read_request::ReadRequest;
@@ -100,10 +101,13 @@
         RepeatRule::Idempotent | RepeatRule::AtMostOnce => MAX_WHOLE_BYTES,
     };
     let options = ExchangeOptions { deadline: until, max_idle, max_whole_bytes };
+    // The zone may become evacuated while a connection is opened.
+    let is_keyed = request.params.key.is_some();
+    let is_closed = || host.pool.borrow().is_closed(host.now(), &holder, is_keyed);
     let is_repeatable = request.rule.repeat != RepeatRule::AtMostOnce;
     let end = tokio::select! {
         biased;
-        end = host.connections.exchange(address, outgoing, &options, || true) => end,
+        end = host.connections.exchange(address, outgoing, &options, || !is_closed()) => end,
         () = host.path_silence(), if is_repeatable && request.origin == RequestOrigin::Caller => {
             drop(in_flight);
             permit.finish(AttemptOutcome::Unanswered);
@@ -155,6 +159,14 @@
         }
         ExchangeOutcome::NotSent(cause) => {
             log_failure(request, &permit, "not_sent", &cause);
+            if is_closed() {
+                permit.finish(AttemptOutcome::Cancelled);
+                return ForwardOutcome::NotExecuted {
+                    reason: ZONE_EVACUATED,
+                    reached: false,
+                    misdirected: false,
+                };
+            }
             // While the path is lost, a failure says nothing about the target.
             let is_path_lost = host.connections.path().is_lost();
             permit.finish(match is_path_lost {
--- a/crates/gw-gateway/src/gateway_metrics.rs
+++ b/crates/gw-gateway/src/gateway_metrics.rs
@@ -43,6 +43,8 @@
     pub(crate) is_leader: Gauge,
     pub(crate) is_path_lost: Gauge,
     pub(crate) dropped_lines: Gauge,
+    pub(crate) evacuated_zones: Gauge,
+    pub(crate) evacuation_refusals: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -62,6 +64,8 @@
             is_leader: Gauge::default(),
             is_path_lost: Gauge::default(),
             dropped_lines: Gauge::default(),
+            evacuated_zones: Gauge::default(),
+            evacuation_refusals: Counter::default(),
         };
         metrics.register();
         metrics
@@ -93,6 +97,10 @@
         registry.register("target_path_lost", help, self.is_path_lost.clone());
         let help = "Log lines dropped since the start";
         registry.register("log_lines_dropped", help, self.dropped_lines.clone());
+        let help = "Zones whose targets are to get no requests";
+        registry.register("evacuated_zones", help, self.evacuated_zones.clone());
+        let help = "Requests refused because the targets for them are in evacuated zones";
+        registry.register("evacuation_refusals", help, self.evacuation_refusals.clone());
     }
 
     /// Records a finished request: its outcome and the time from its head to its response.
--- a/crates/gw-gateway/src/lib.rs
+++ b/crates/gw-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod settings;
 mod settings_watch;
 mod targets;
+mod wall_clock;
 
 pub use log_output::LogError;
 pub use log_output::flush_log;
--- a/crates/gw-gateway/src/ports/control_call.rs
+++ b/crates/gw-gateway/src/ports/control_call.rs
@@ -1,8 +1,10 @@
 use bytes::Bytes;
 use gw_fleet::StoredConfig;
 use gw_fleet::TargetRecord;
+use gw_fleet::ZoneEvacuation;
 use gw_routing::ConfigVersion;
 use gw_types::TargetName;
+use gw_types::ZoneName;
 
 /// A target's periodic announcement of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,12 +31,25 @@
     PutConfig(StoredConfig),
     /// An operator reads the newest configuration.
     ReadConfig,
+    /// An operator requests that the targets of a zone get no requests.
+    StartEvacuation {
+        /// The zone.
+        zone: ZoneName,
+    },
+    /// An operator withdraws the evacuation of a zone.
+    EndEvacuation {
+        /// The zone.
+        zone: ZoneName,
+    },
+    /// An operator reads which zones are evacuated.
+    ReadEvacuations,
 }
 
 /// The reply to a [`ControlCall`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum ControlReply {
-    /// The announcement or deregistration is committed, or was already known.
+    /// The announcement, the deregistration, or the start or end of an evacuation is committed, or
+    /// was already known.
     Accepted,
     /// Version in force after a [`ControlCall::PutConfig`]: the submitted one, or a higher one that
     /// was committed earlier.
@@ -43,6 +58,8 @@
     Config(Bytes),
     /// No configuration has been accepted yet.
     NoConfig,
+    /// The evacuated zones, sorted by zone.
+    Evacuations(Vec<ZoneEvacuation>),
     /// This host cannot serve the call at present; another control host may.
     Unavailable {
         /// Reason for the operator or the log.
