perf(gw-ranges): released ranges are assigned by few commands

Cause: an evacuation assigns hundreds of ranges within 3 s, and each command of the log is synced, sent to the other replicas and to each entry host that streams from a control host. Change: the ranges released since the last step are assigned by one command, except neighbours for the same holder, which would be merged and lose their handover tokens. Result: tests of gw-ranges pass. The cost on a leader was not measured yet.

--- a/crates/gw-ranges/src/range_granter.rs
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -134,12 +134,18 @@
         let mut due: Vec<usize> = (0..self.leases.len()).collect();
         due.sort_by_key(|&index| self.leases[index].next_order_at);
         let mut remaining_orders = max_orders;
+        let mut released = Vec::new();
         for index in due {
-            let previous_count = actions.len();
-            self.advance_lease(now, index, table, candidates, remaining_orders > 0, &mut actions);
-            let is_order = |action: &GranterAction| matches!(action, GranterAction::Order(_));
-            remaining_orders -=
-                actions[previous_count..].iter().filter(|action| is_order(action)).count();
+            let may_order = remaining_orders > 0;
+            let order = self.advance_lease(now, index, table, candidates, may_order, &mut released);
+            if let Some(order) = order {
+                remaining_orders -= 1;
+                actions.push(GranterAction::Order(order));
+            }
+        }
+        for moves in separate_neighbours(released) {
+            let service = self.service.clone();
+            actions.push(GranterAction::Propose(RangeCommand::Assign { service, moves }));
         }
         if now >= self.next_plan {
             self.mark_adjacent_leases(now);
@@ -241,6 +247,8 @@
         });
     }
 
+    /// Advances a lease. Returns the order that is due, and adds the assignment of a released range
+    /// to `released`.
     fn advance_lease(
         &mut self,
         now: Timestamp,
@@ -248,18 +256,18 @@
         table: &RangeTable,
         candidates: &[RangeCandidate],
         may_order: bool,
-        actions: &mut Vec<GranterAction>,
-    ) {
+        released: &mut Vec<RangeTransfer>,
+    ) -> Option<TargetOrder> {
         let status = status_of(&self.leases[index].holder, candidates);
         let lease = &mut self.leases[index];
         if lease.proposed_at.is_some_and(|at| now.since(at) > PROPOSAL_TIMEOUT) {
             lease.proposed_at = None;
         }
         let kind = match &lease.stage {
-            MoveStage::Stable if lease.needs_new_fence => return,
+            MoveStage::Stable if lease.needs_new_fence => return None,
             MoveStage::Stable => {
                 if status == HolderStatus::Ended {
-                    return;
+                    return None;
                 }
                 let hold = self.options.lease_duration;
                 OrderKind::Grant { hold, handover: lease.handover.clone() }
@@ -267,23 +275,25 @@
             MoveStage::Announced { release_at } => {
                 if now < *release_at || (lease.pending_order.is_some() && !lease.is_release_pending)
                 {
-                    return;
+                    return None;
                 }
                 // Runs that have ended must be released as well: a later run at the same address
                 // may have accepted a grant that was addressed to the earlier one.
                 if now >= lease.expires_at {
                     lease.stage = MoveStage::Released { handover: None };
                     lease.uncertain_until = now;
-                    return self.propose_assignment(now, index, table, actions);
+                    released.extend(self.assignment_due(now, index, table));
+                    return None;
                 }
                 OrderKind::Release
             }
             MoveStage::Released { .. } => {
-                return self.propose_assignment(now, index, table, actions);
+                released.extend(self.assignment_due(now, index, table));
+                return None;
             }
         };
         if lease.pending_order.is_some() || now < lease.next_order_at || !may_order {
-            return;
+            return None;
         }
         let number = self.next_number;
         self.next_number += 1;
@@ -294,14 +304,14 @@
             lease.previous_expiry = lease.expires_at;
             lease.expires_at = lease.expires_at.max(now + self.options.worst_case_lease_duration());
         }
-        actions.push(GranterAction::Order(TargetOrder {
+        Some(TargetOrder {
             number,
             holder: lease.holder.clone(),
             service: self.service.clone(),
             range: lease.range,
             fence: lease.fence,
             kind,
-        }));
+        })
     }
 
     /// Marks adjacent ranges of one holder for a common fencing token, which merges them into one
@@ -343,20 +353,20 @@
         }
     }
 
-    fn propose_assignment(
+    /// Returns the assignment of a released range to its next holder, if it is due.
+    fn assignment_due(
         &mut self,
         now: Timestamp,
         index: usize,
         table: &RangeTable,
-        actions: &mut Vec<GranterAction>,
-    ) {
+    ) -> Option<RangeTransfer> {
         let lease = &mut self.leases[index];
         if now < lease.uncertain_until || lease.proposed_at.is_some() {
-            return;
+            return None;
         }
         let successor = table.find(lease.range.first).successor.clone();
         let (MoveStage::Released { handover }, Some(to)) = (&lease.stage, successor) else {
-            return;
+            return None;
         };
         if let Some(token) = handover {
             let (range, fence, token) = (lease.range, lease.fence, token.clone());
@@ -364,9 +374,7 @@
             self.handovers.push(PendingHandover { range, fence, token });
         }
         lease.proposed_at = Some(now);
-        let moves = vec![RangeTransfer { range: lease.range, to, fence: lease.fence }];
-        let service = self.service.clone();
-        actions.push(GranterAction::Propose(RangeCommand::Assign { service, moves }));
+        Some(RangeTransfer { range: lease.range, to, fence: lease.fence })
     }
 
     /// Returns the time between renewals of a lease: longer with many leases, so that renewals leave
@@ -511,6 +519,27 @@
     }
 }
 
+/// Divides assignments into commands. A command gives all its ranges the same token, and adjacent
+/// ranges of one holder with the same token are merged, so that the handover token of each would be
+/// lost; they are assigned by separate commands. Few commands, since each is sent to all entry hosts.
+fn separate_neighbours(assignments: Vec<RangeTransfer>) -> Vec<Vec<RangeTransfer>> {
+    let is_adjacent = |a: &RangeTransfer, b: &RangeTransfer| {
+        let (a_end, b_end) = (a.range.last.checked_add(1), b.range.last.checked_add(1));
+        a.to == b.to && (a_end == Some(b.range.first) || b_end == Some(a.range.first))
+    };
+    let mut commands: Vec<Vec<RangeTransfer>> = Vec::new();
+    for transfer in assignments {
+        let fits = |moves: &&mut Vec<RangeTransfer>| {
+            !moves.iter().any(|other| is_adjacent(other, &transfer))
+        };
+        match commands.iter_mut().find(fits) {
+            Some(moves) => moves.push(transfer),
+            None => commands.push(vec![transfer]),
+        }
+    }
+    commands
+}
+
 /// Returns the status of `holder`. A holder that is not among the candidates counts as silent,
 /// since it may still run. `candidates` are sorted by holder, so that the runs of one target are
 /// adjacent.
