--- a/crates/galenawheel/src/cli/command_tree.rs
+++ b/crates/galenawheel/src/cli/command_tree.rs
@@ -36,6 +36,7 @@
         .subcommand(profile_command())
         .subcommand(status_command())
         .subcommand(audit_command())
+        .subcommand(evacuations_command())
         .subcommand(settings_command())
         .subcommand(replay_command())
         .subcommand(story_command())
@@ -213,6 +214,19 @@
         )
 }
 
+fn evacuations_command() -> Command {
+    Command::new("evacuations")
+        .about("Lists the evacuated zones, as a control host on the users' platform knows them")
+        .long_about(
+            "Lists the evacuated zones, as a control host on the users' platform knows them. Name \
+             the address for control calls with --host, several to try in turn. No token is needed.",
+        )
+        .after_help(examples(&[
+            "galenawheel evacuations --host 10.0.0.1:8544",
+            "galenawheel evacuations --host 10.0.0.1:8544 --format json",
+        ]))
+}
+
 fn settings_command() -> Command {
     Command::new("settings")
         .about("Checks or writes settings of hosts")
--- a/crates/galenawheel/src/cli/mod.rs
+++ b/crates/galenawheel/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod audit_command;
 mod command_tree;
 mod console;
+mod evacuations_command;
 mod exit_status;
 mod operator_client;
 mod profile_command;
@@ -94,6 +95,9 @@
         Some(("audit", matches)) => {
             audit_command::run(matches, &OperatorClient::from_matches(matches)?, console).await
         }
+        Some(("evacuations", matches)) => {
+            evacuations_command::run(&OperatorClient::with_optional_token(matches)?, console).await
+        }
         Some(("settings", matches)) => settings_command::run(matches, console),
         Some(("replay", matches)) => replay_command::run(matches, console),
         Some(("story", matches)) => story_command::run(matches, console),
--- a/crates/galenawheel/src/cli/operator_client.rs
+++ b/crates/galenawheel/src/cli/operator_client.rs
@@ -29,7 +29,8 @@
     pub(super) hosts: Vec<SocketAddr>,
     /// Time by which the command must end.
     pub(super) deadline: Instant,
-    token: String,
+    /// The operators' token; `None` for hosts that ask for none.
+    token: Option<String>,
 }
 
 /// HTTP response of a host.
@@ -74,14 +75,23 @@
 impl OperatorClient {
     /// Creates the client from the arguments, and reads the token file.
     pub(super) fn from_matches(matches: &ArgMatches) -> Result<Self, CommandError> {
+        let client = Self::with_optional_token(matches)?;
+        if client.token.is_none() {
+            let missing = "--token-file is required for this command";
+            return Err(CommandError::Usage(missing.to_owned()));
+        }
+        Ok(client)
+    }
+
+    /// The same for calls to hosts that ask for no token; one that is given is sent.
+    pub(super) fn with_optional_token(matches: &ArgMatches) -> Result<Self, CommandError> {
         let hosts: Vec<_> =
             matches.get_many::<SocketAddr>("host").into_iter().flatten().copied().collect();
         if hosts.is_empty() {
             return Err(CommandError::Usage("--host is required for this command".to_owned()));
         }
         let path = matches.get_one::<PathBuf>("token-file");
-        let missing = || CommandError::Usage("--token-file is required for this command".into());
-        let token = read_token(path.ok_or_else(missing)?)?;
+        let token = path.map(|path| read_token(path)).transpose()?;
         let seconds = matches.get_one::<u64>("timeout").copied().unwrap_or_default();
         let timeout = Duration::from_secs(seconds);
         Ok(Self { hosts, deadline: Instant::now() + timeout, token })
@@ -140,14 +150,15 @@
         let not_sent = |cause: &dyn fmt::Display| CallFailure::NotSent(host, cause.to_string());
         let stream = connected.map_err(|_| not_sent(&"timed out"))?.map_err(|e| not_sent(&e))?;
         let lost = |cause: &dyn fmt::Display| CallFailure::Lost(host, cause.to_string());
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(path)
             .header("host", host.to_string())
-            .header("authorization", format!("Bearer {}", self.token))
-            .header("content-type", "application/json")
-            .body(Full::new(body))
-            .map_err(|error| not_sent(&error))?;
+            .header("content-type", "application/json");
+        if let Some(token) = &self.token {
+            request = request.header("authorization", format!("Bearer {token}"));
+        }
+        let request = request.body(Full::new(body)).map_err(|error| not_sent(&error))?;
         let exchange = tokio::time::timeout_at(deadline, exchange(stream, request)).await;
         exchange.map_err(|_| lost(&"timed out"))?.map_err(|error| lost(&error))
     }
--- a/crates/galenawheel/tests/operators.rs
+++ b/crates/galenawheel/tests/operators.rs
@@ -11,6 +11,75 @@
 use support::TestSystem;
 use support::new_folder;
 use support::run_cli;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+struct EvacuationsCase {
+    name: &'static str,
+    /// Status and body of the control host.
+    answer: (u16, &'static str),
+    arguments: &'static [&'static str],
+    code: u8,
+    /// Parts of the output and of the error output.
+    out: &'static str,
+    err: &'static str,
+}
+
+/// Answers one call of the command line with a status and a body.
+async fn answer_once(listener: TcpListener, (status, body): (u16, &str)) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut head = [0; 4096];
+    let len = stream.read(&mut head).await.unwrap();
+    let head = String::from_utf8_lossy(&head[..len]).into_owned();
+    assert!(head.starts_with("GET /evacuations HTTP/1.1"), "{head}");
+    assert!(!head.contains("authorization"), "{head}");
+    let head = format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(body.as_bytes()).await.unwrap();
+}
+
+/// Guards against a list of evacuated zones that scripts cannot read, and against exit codes that
+/// report a failed call as an empty list.
+#[tokio::test]
+async fn evacuations_are_listed() {
+    const LIST: &str = r#"{"evacuations":[{"since_unix_ms":1700000000000,"zone":"spinneri"}]}"#;
+    let case = |name, answer, arguments, code, out, err| EvacuationsCase {
+        name,
+        answer,
+        arguments,
+        code,
+        out,
+        err,
+    };
+    let text = "zone spinneri: evacuated since 2023-11-14T22:13:20";
+    let json = "\"since_unix_ms\": 1700000000000";
+    let cases = [
+        case("text", (200, LIST), &[][..], 0, text, ""),
+        case("json", (200, LIST), &["--format", "json"][..], 0, json, ""),
+        case("empty", (200, r#"{"evacuations":[]}"#), &[][..], 0, "no zone is evacuated", ""),
+        case(
+            "no leader",
+            (503, r#"{"error":"no leader known"}"#),
+            &[][..],
+            1,
+            "",
+            "no leader known",
+        ),
+        case("another host", (404, r#"{"error":"no call"}"#), &[][..], 1, "", "answered 404"),
+        case("not JSON", (200, "ok"), &[][..], 1, "", "cannot be read"),
+    ];
+    for case in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let host = listener.local_addr().unwrap().to_string();
+        let arguments = [&["evacuations", "--host", &host][..], case.arguments].concat();
+        let (run, ()) = tokio::join!(run_cli(&arguments), answer_once(listener, case.answer));
+        assert_eq!(run.code, case.code, "{}: {run:?}", case.name);
+        assert!(run.out.contains(case.out), "{}: {run:?}", case.name);
+        assert!(run.err.contains(case.err), "{}: {run:?}", case.name);
+    }
+    assert_eq!(run_cli(&["evacuations"]).await.code, 2);
+}
 
 /// Guards against a zone that never becomes ready because none of its hosts runs a control replica.
 #[tokio::test(flavor = "multi_thread")]
