test(gw-gateway): messages and records of the last build without a version

Cause: machines are upgraded one after the other, so that the present build must read what sends and stores, and send what it reads.

--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -64,10 +64,10 @@
 }
 
 /// A message and what its frame says about the sender.
-struct ReceivedFrame {
-    message: LinkMessage,
+pub(super) struct ReceivedFrame {
+    pub(super) message: LinkMessage,
     /// The sender's version, if the message is its first one.
-    version: Option<FormatVersion>,
+    pub(super) version: Option<FormatVersion>,
 }
 
 /// Encodes a message as a frame: its length in 4 bytes, little-endian, followed by the message in
@@ -205,7 +205,7 @@
     }
 }
 
-fn decode_frame(buffer: &mut BytesMut) -> io::Result<Option<ReceivedFrame>> {
+pub(super) fn decode_frame(buffer: &mut BytesMut) -> io::Result<Option<ReceivedFrame>> {
     let Some(prefix) = buffer.first_chunk::<4>() else { return Ok(None) };
     let len = u32::from_le_bytes(*prefix) as usize;
     if len > MAX_FRAME_BYTES {
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -1,6 +1,12 @@
 //! Connections between hosts, which carry length-prefixed postcard frames over TCP.
 
 mod dialed_peers;
+#[cfg(test)]
+#[path = "../../tests/link/earlier_frames.rs"]
+mod earlier_frames;
+#[cfg(test)]
+#[path = "../../tests/link/earlier_values.rs"]
+mod earlier_values;
 mod link_handle;
 mod link_message;
 mod link_task;
