fix(gw-gateway, gw-fleet): orders have a connection of their own; late calls spare later runs

A grant for an earlier run could be sent to the address of the later one. A late deregistration, which names no run, removed the later run for good, and a late announcement could register a run although a later one had existed. A Keep-Alive time near 2^64 seconds overflowed the clock. Requests that waited for a connection when the host lost its path to targets were answered with 502 although nothing of them had been sent. Change: every order uses a new connection that is closed afterwards. Grants go only to the run that they are meant for, checked again right before sending, on entry hosts too. A deregistration counts for the run that is known on arrival and is acknowledged without effect within 10 s after a later run has replaced an earlier one. Stated idle times are bounded. A request counts as sent only once it was handed to a connection and before its deadline; relays get 60 ms less than the time left. Not tested: the margin for relays, and connections that are established after the deadline.

--- a/crates/gw-fleet/src/fleet_state.rs
+++ b/crates/gw-fleet/src/fleet_state.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use gw_ranges::OrderKind;
 use gw_ranges::RangeCommand;
 use gw_ranges::RangeHolder;
 use gw_ranges::RangeTable;
@@ -279,6 +280,43 @@
         &self.departed
     }
 
+    /// Returns the latest known run of the target `name`, also if it has been removed.
+    pub fn latest_run(&self, name: &TargetName) -> Option<u64> {
+        let departed = self.departed.iter().map(|departed| &departed.record);
+        let records = departed.filter(|record| record.name == *name).chain(self.target(name));
+        records.map(|record| record.run).max()
+    }
+
+    /// Returns whether a grant to `holder` may be sent. A later run of the target, which receives
+    /// orders at the same address, must not take a grant with a token of the earlier run for its own.
+    pub fn may_grant(&self, holder: &RangeHolder) -> bool {
+        self.latest_run(&holder.target).is_none_or(|run| run <= holder.run)
+    }
+
+    /// Returns the record with the address to which an order is sent; `None` if it must not be sent.
+    ///
+    /// A release for a run that is no longer known goes to the present run: it may have accepted a
+    /// grant that was meant for the earlier one, before it announced itself.
+    pub fn order_address(&self, holder: &RangeHolder, kind: &OrderKind) -> Option<&TargetRecord> {
+        let live = self.target(&holder.target);
+        let departed = self.departed.iter().map(|departed| &departed.record);
+        let same_run = live.into_iter().chain(departed).find(|record| record.holder() == *holder);
+        match kind {
+            OrderKind::Grant { .. } => same_run.filter(|_| self.may_grant(holder)),
+            OrderKind::Release => same_run.or(live),
+        }
+    }
+
+    /// Returns whether an announcement is that of a run that has left or ended, and therefore late.
+    pub fn is_outdated(&self, record: &TargetRecord) -> bool {
+        let has_departed = self.departed.iter().any(|departed| {
+            departed.record.name == record.name
+                && departed.record.run == record.run
+                && departed.cause != DepartureCause::Silent
+        });
+        has_departed || self.latest_run(&record.name).is_some_and(|run| run > record.run)
+    }
+
     /// Returns the range table of `service`; `None` if none of its ranges was ever assigned.
     pub fn table(&self, service: &ServiceName) -> Option<&RangeTable> {
         let found = self.tables.binary_search_by(|(name, _)| name.cmp(service));
--- /dev/null
+++ b/crates/gw-fleet/tests/late_calls.rs
@@ -0,0 +1,217 @@
+//! Effect of calls and orders that arrive after a later run of their target has announced itself.
+
+use std::time::Duration;
+
+use gw_fleet::DepartureCause;
+use gw_fleet::FleetCommand;
+use gw_fleet::FleetState;
+use gw_fleet::RunReplacements;
+use gw_fleet::TargetPhase;
+use gw_fleet::TargetRecord;
+use gw_ranges::OrderKind;
+use gw_ranges::RangeHolder;
+use gw_types::ServiceName;
+use gw_types::TargetName;
+use gw_types::Timestamp;
+use gw_types::ZoneName;
+
+const GRANT: OrderKind = OrderKind::Grant { hold: Duration::from_secs(5), handover: None };
+
+/// What has happened to the target `a` so far.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Announced { run: u64, phase: TargetPhase },
+    Removed(DepartureCause),
+}
+
+fn name() -> TargetName {
+    TargetName::new("a").expect("a valid name")
+}
+
+/// Returns the record of a run; each run has an address of its own.
+fn record(run: u64, phase: TargetPhase) -> TargetRecord {
+    TargetRecord {
+        name: name(),
+        run,
+        address: ([127, 0, 0, 1], run as u16).into(),
+        service: ServiceName::new("slips").expect("a valid name"),
+        zone: ZoneName::new("a").expect("a valid name"),
+        work_slots: 2,
+        phase,
+    }
+}
+
+fn state_after(events: &[Event]) -> FleetState {
+    let mut state = FleetState::default();
+    for event in events {
+        state.apply(&match *event {
+            Event::Announced { run, phase } => FleetCommand::PutTarget(record(run, phase)),
+            Event::Removed(cause) => FleetCommand::RemoveTarget { name: name(), run: None, cause },
+        });
+    }
+    state
+}
+
+fn served(run: u64) -> Event {
+    Event::Announced { run, phase: TargetPhase::Serving }
+}
+
+fn drained(run: u64) -> Event {
+    Event::Announced { run, phase: TargetPhase::Draining }
+}
+
+const LEFT: Event = Event::Removed(DepartureCause::Left);
+const SILENT: Event = Event::Removed(DepartureCause::Silent);
+
+struct OrderCase {
+    name: &'static str,
+    events: Vec<Event>,
+    /// Run to which the order is addressed.
+    run: u64,
+    kind: OrderKind,
+    /// Run at whose address the order arrives.
+    arrives_at: Option<u64>,
+}
+
+/// Guards against a grant for an earlier run that a later run takes for its own: the later run would
+/// serve keys under a token of the earlier one.
+#[test]
+fn grants_never_reach_a_later_run() {
+    const RELEASE: OrderKind = OrderKind::Release;
+    let case =
+        |name, events, run, kind, arrives_at| OrderCase { name, events, run, kind, arrives_at };
+    let cases = [
+        case("grant to the present run", vec![served(1)], 1, GRANT, Some(1)),
+        case("grant to a draining run", vec![served(1), drained(1)], 1, GRANT, Some(1)),
+        case(
+            "grant to a run that left and ends its work",
+            vec![served(1), LEFT],
+            1,
+            GRANT,
+            Some(1),
+        ),
+        case("grant to a silent run", vec![served(1), SILENT], 1, GRANT, Some(1)),
+        case("grant to a replaced run", vec![served(1), served(2)], 1, GRANT, None),
+        case("grant after both runs left", vec![served(1), served(2), LEFT], 1, GRANT, None),
+        case("grant to an unknown target", vec![], 1, GRANT, None),
+        case("release of a replaced run", vec![served(1), served(2)], 1, RELEASE, Some(2)),
+        case("release of a run that left", vec![served(1), LEFT], 1, RELEASE, Some(1)),
+        case("release of an unknown target", vec![], 1, RELEASE, None),
+    ];
+    for case in cases {
+        let state = state_after(&case.events);
+        let holder = RangeHolder { target: name(), run: case.run };
+        let found = state.order_address(&holder, &case.kind).map(|record| record.run);
+        assert_eq!(found, case.arrives_at, "{}", case.name);
+    }
+}
+
+struct DepartureCase {
+    name: &'static str,
+    events: Vec<Event>,
+    /// Age of the present run's first announcement, if the run has replaced an earlier one.
+    replaced_before: Option<Duration>,
+    /// What happens between the arrival of the deregistration and its commit.
+    meanwhile: Vec<Event>,
+    /// Run that is registered afterwards.
+    registered: Option<u64>,
+}
+
+/// Guards against a deregistration of an earlier run that arrives late and shuts out the later run,
+/// which could never announce itself again.
+#[test]
+fn late_departures_spare_later_runs() {
+    let old = Some(Duration::from_secs(11));
+    let new = Some(Duration::from_millis(500));
+    let case = |name, events, replaced_before, meanwhile, registered| DepartureCase {
+        name,
+        events,
+        replaced_before,
+        meanwhile,
+        registered,
+    };
+    let cases = [
+        case("the only run leaves", vec![served(1)], None, vec![], None),
+        case("a replaced run leaves late", vec![served(1), served(2)], new, vec![], Some(2)),
+        case("the later run leaves", vec![served(1), served(2)], old, vec![], None),
+        case("the later run drains and leaves", vec![served(1), drained(2)], new, vec![], None),
+        case(
+            "a later run appears before the commit",
+            vec![served(1)],
+            None,
+            vec![served(2)],
+            Some(2),
+        ),
+        case(
+            "one after the run was silent",
+            vec![served(1), SILENT],
+            None,
+            vec![served(2)],
+            Some(2),
+        ),
+        case("a silent run leaves", vec![served(1), SILENT], None, vec![served(1)], None),
+    ];
+    for case in cases {
+        let now = Timestamp::from_nanos(60_000_000_000);
+        let mut state = state_after(&case.events);
+        let mut replacements = RunReplacements::default();
+        if let (Some(age), Some(record)) = (case.replaced_before, state.target(&name())) {
+            let at = Timestamp::from_nanos(now.as_nanos() - age.as_nanos() as u64);
+            replacements.record(at, record.holder());
+        }
+        let command = replacements.departure(now, &state, &name());
+        // An announcement of the run that leaves is late only after the commit.
+        let (before, after): (Vec<Event>, Vec<Event>) = case
+            .meanwhile
+            .iter()
+            .partition(|event| matches!(event, Event::Announced { run: 2, .. }));
+        let announce = |state: &mut FleetState, events: Vec<Event>| {
+            for event in events {
+                let Event::Announced { run, phase } = event else { continue };
+                if !state.is_outdated(&record(run, phase)) {
+                    state.apply(&FleetCommand::PutTarget(record(run, phase)));
+                }
+            }
+        };
+        announce(&mut state, before);
+        if let Some(command) = command {
+            state.apply(&command);
+        }
+        announce(&mut state, after);
+        let registered = state.target(&name()).map(|record| record.run);
+        assert_eq!(registered, case.registered, "{}", case.name);
+    }
+}
+
+struct AnnouncementCase {
+    name: &'static str,
+    events: Vec<Event>,
+    run: u64,
+    is_outdated: bool,
+}
+
+/// Guards against a late announcement that registers a run after a later one has existed.
+#[test]
+fn late_announcements_are_recognized() {
+    let case = |name, events, run, is_outdated| AnnouncementCase { name, events, run, is_outdated };
+    let cases = [
+        case("first run", vec![], 1, false),
+        case("present run", vec![served(1)], 1, false),
+        case("later run", vec![served(1)], 2, false),
+        case("earlier run", vec![served(2)], 1, true),
+        case(
+            "earlier run while the later one is silent",
+            vec![served(1), served(2), SILENT],
+            1,
+            true,
+        ),
+        case("silent run", vec![served(2), SILENT], 2, false),
+        case("run that left", vec![served(2), LEFT], 2, true),
+        case("later run after one that left", vec![served(2), LEFT], 3, false),
+    ];
+    for case in cases {
+        let state = state_after(&case.events);
+        let record = record(case.run, TargetPhase::Serving);
+        assert_eq!(state.is_outdated(&record), case.is_outdated, "{}", case.name);
+    }
+}
--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -2,7 +2,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gw_fleet::DepartureCause;
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
 use http::Request;
@@ -62,8 +61,14 @@
     match call {
         ControlCall::Announce(announcement) => announce(host, announcement).await,
         ControlCall::Leave { name } => {
-            let command =
-                FleetCommand::RemoveTarget { name, run: None, cause: DepartureCause::Left };
+            let command = {
+                let (log, replacements) = (host.log.borrow(), host.run_replacements.borrow());
+                replacements.departure(host.now(), log.state(), &name)
+            };
+            let Some(command) = command else {
+                log::warn!("event=late_departure_ignored target={name}");
+                return ControlReply::Accepted;
+            };
             commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
         }
         ControlCall::PutConfig(config) => {
@@ -93,12 +98,7 @@
     let is_known = {
         let log = host.log.borrow();
         let state = log.state();
-        let has_departed = state.departed().iter().any(|departed| {
-            departed.record.name == name
-                && departed.record.run >= announcement.record.run
-                && departed.cause != DepartureCause::Silent
-        });
-        has_departed || state.target(&name) == Some(&announcement.record)
+        state.is_outdated(&announcement.record) || state.target(&name) == Some(&announcement.record)
     };
     if is_known {
         if !host.is_leader() {
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -15,6 +15,7 @@
 use gw_dispatch::QuarantineOptions;
 use gw_fleet::FleetCommand;
 use gw_fleet::ReplacementWindow;
+use gw_fleet::RunReplacements;
 use gw_fleet::TargetPhase;
 use gw_fleet::TargetRecord;
 use gw_ranges::RangeHolder;
@@ -108,6 +109,8 @@
     pub(crate) log: RefCell<FleetLog>,
     pub(crate) links: RefCell<Vec<PeerLink>>,
     pub(crate) monitor: RefCell<TargetMonitor>,
+    /// Targets of which a later run has appeared a short time ago.
+    pub(crate) run_replacements: RefCell<RunReplacements>,
     /// Targets that announced themselves here without a change since the last report to the leader.
     pub(crate) heard_targets: RefCell<BTreeSet<TargetName>>,
     pub(crate) granters: RefCell<GranterSet>,
@@ -154,6 +157,7 @@
             log: RefCell::default(),
             links: RefCell::default(),
             monitor: RefCell::default(),
+            run_replacements: RefCell::default(),
             heard_targets: RefCell::default(),
             granters: RefCell::new(GranterSet::new(settings.max_lease_duration)),
             granters_stepped_at: Cell::new(Timestamp::ZERO),
--- a/crates/gw-gateway/src/control/order_delivery.rs
+++ b/crates/gw-gateway/src/control/order_delivery.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use gw_fleet::FormatVersion;
 use gw_ranges::OrderKind;
 use gw_ranges::OrderOutcome;
-use gw_ranges::RangeHolder;
 use gw_ranges::TargetOrder;
 use gw_types::TargetName;
 use gw_types::Timestamp;
@@ -76,7 +76,7 @@
 }
 
 async fn run_order(host: Rc<ControlHost>, unreachable: Rc<UnreachableTargets>, order: TargetOrder) {
-    let outcome = match find_address(&host, &order.holder) {
+    let outcome = match find_address(&host, &order) {
         Some((address, zone)) => deliver(&host, &unreachable, &order, address, &zone).await,
         None => OrderOutcome::NotSent,
     };
@@ -108,16 +108,11 @@
     }
 }
 
-/// Returns the address and zone at which a run of a target receives orders. For a run that is no
-/// longer known, the address of the present run is used: it may have accepted a grant meant for the
-/// earlier run, and must receive the release.
-fn find_address(host: &ControlHost, holder: &RangeHolder) -> Option<(SocketAddr, ZoneName)> {
+/// Returns the address to which an order is sent and the zone of the target; `None` if the order must
+/// not be sent, or no longer.
+fn find_address(host: &ControlHost, order: &TargetOrder) -> Option<(SocketAddr, ZoneName)> {
     let log = host.log.borrow();
-    let state = log.state();
-    let live = state.target(&holder.target);
-    let departed = state.departed().iter().map(|departed| &departed.record);
-    let mut records = live.into_iter().chain(departed);
-    let record = records.find(|record| record.holder() == *holder).or(live)?;
+    let record = log.state().order_address(&order.holder, &order.kind)?;
     Some((record.address, record.zone.clone()))
 }
 
@@ -132,7 +127,7 @@
     zone: &ZoneName,
 ) -> OrderOutcome {
     let target = &order.holder.target;
-    let mut relays = relay_candidates(host, zone).into_iter();
+    let mut relays = relay_candidates(host, zone, &order.kind).into_iter();
     if unreachable.contains(host.now(), target)
         && let Some(relay) = relays.next()
     {
@@ -142,8 +137,8 @@
         }
     }
     // Checked right before sending: a host that was suspended or lost its majority must not grant
-    // ranges.
-    let may_send = || host.is_confirmed_leader();
+    // ranges, and a later run may have announced itself since.
+    let may_send = || host.is_confirmed_leader() && find_address(host, order).is_some();
     let reply = send_order(&*host.adapter, &host.connections, address, order, may_send).await;
     if reply.is_leaving {
         host.record_leaving([&order.holder], "order");
@@ -152,7 +147,7 @@
     let is_reached = matches!(outcome, OrderOutcome::Done { .. } | OrderOutcome::Refused);
     unreachable.record(host.now(), target, is_reached);
     if outcome == OrderOutcome::NotSent
-        && host.is_confirmed_leader()
+        && may_send()
         && let Some(relay) = relays.next()
     {
         return relay_order(host, relay, order, address).await;
@@ -160,14 +155,23 @@
     outcome
 }
 
-/// Returns the entry hosts that may relay an order, those that can reach targets first, then those of
+/// Returns the entry hosts that may relay an order of the given kind, those that can reach targets first, then those of
 /// the target's zone, each with the latest time on its clock at which it may send the order.
-fn relay_candidates(host: &ControlHost, zone: &ZoneName) -> Vec<(LinkHandle, u64)> {
+fn relay_candidates(
+    host: &ControlHost,
+    zone: &ZoneName,
+    kind: &OrderKind,
+) -> Vec<(LinkHandle, u64)> {
     let now = host.now();
     let links = host.links.borrow();
     let mut found: Vec<((bool, bool), LinkHandle, u64)> = links
         .iter()
         .filter(|link| link.is_entry())
+        // Hosts of earlier builds may take the second copy of another answer for the confirmation of
+        // a release.
+        .filter(|link| {
+            *kind != OrderKind::Release || link.link.supports(FormatVersion::EVACUATIONS)
+        })
         .filter_map(|link| {
             let (clock, reported_at) =
                 link.clock.filter(|(_, reported_at)| now.since(*reported_at) < MAX_CLOCK_AGE)?;
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -115,12 +115,23 @@
             }
         };
         let count_before = self.log.borrow().state().replicas().len();
+        let previous_run = match &command {
+            Some(FleetCommand::PutTarget(record)) => {
+                self.log.borrow().state().latest_run(&record.name)
+            }
+            _ => None,
+        };
         let outcome = self.log.borrow_mut().apply(index, command.as_ref());
         self.record_replacement(count_before);
         if let (Some(command), Some(outcome)) = (&command, outcome) {
             if let FleetCommand::PutTarget(record) = command {
                 // The target announced itself a moment ago, possibly to another replica.
                 self.monitor.borrow_mut().record_contact(self.now(), &record.name);
+                if outcome == FleetOutcome::Applied
+                    && previous_run.is_some_and(|run| run < record.run)
+                {
+                    self.run_replacements.borrow_mut().record(self.now(), record.holder());
+                }
             }
             log_applied(index, command, outcome);
         }
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -11,6 +11,7 @@
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
+use gw_ranges::OrderKind;
 use gw_ranges::TargetOrder;
 use gw_types::Timestamp;
 use gw_types::ZoneName;
@@ -451,7 +452,9 @@
     address: SocketAddr,
     send_before: Timestamp,
 ) {
-    let may_send = || host.now() < send_before;
+    let is_grant = matches!(order.kind, OrderKind::Grant { .. });
+    let may_send =
+        || host.now() < send_before && (!is_grant || host.state().may_grant(&order.holder));
     let reply = send_order(&*host.adapter, &host.connections, address, &order, may_send).await;
     if reply.is_leaving {
         host.pool.borrow_mut().record_leaving(host.now(), &order.holder);
--- a/crates/gw-gateway/src/entry/relay_attempt.rs
+++ b/crates/gw-gateway/src/entry/relay_attempt.rs
@@ -25,6 +25,7 @@
 use crate::entry::target_attempt::copy_request;
 use crate::entry::target_attempt::max_idle;
 use crate::entry::transfer_gate::TransferSlot;
+use crate::targets::ConnectionUse;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
 use crate::targets::StreamedReply;
@@ -32,6 +33,10 @@
 
 /// Number of relays through which a request is sent, as long as none of them can execute it.
 const MAX_RELAYS: usize = 3;
+/// Part of the remaining time that is kept for the reply of a relay: a round trip to another zone and
+/// the wait at two busy hosts. A relay that states at its own deadline that the request was not
+/// executed would otherwise do so too late, and the outcome would be unknown.
+const RELAY_RETURN_MARGIN: Duration = Duration::from_millis(60);
 
 /// Outcome of sending a request through other entry hosts.
 pub(crate) enum RelayOutcome {
@@ -79,9 +84,10 @@
     if remaining.is_zero() {
         return refused("too_late", MOVE_RETRY_AFTER);
     }
-    let options =
-        ExchangeOptions { deadline, max_idle: max_idle(request), max_whole_bytes: MAX_WHOLE_BYTES };
-    let outgoing = build_request(request, remaining, attempts);
+    let connection = ConnectionUse::Shared { max_idle: max_idle(request) };
+    let options = ExchangeOptions { deadline, connection, max_whole_bytes: MAX_WHOLE_BYTES };
+    let relay_time = remaining.saturating_sub(RELAY_RETURN_MARGIN).max(remaining / 2);
+    let outgoing = build_request(request, relay_time, attempts);
     let end = host.relays.connections().exchange(address, outgoing, &options, || true).await;
     match end {
         ExchangeOutcome::Replied(TargetReply { head, body, elapsed, .. }) => {
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,6 +31,7 @@
 use crate::entry::relay_headers::TARGET_UNREACHABLE;
 use crate::entry::transfer_gate::TransferSlot;
 use crate::ports::AttemptMetadata;
+use crate::targets::ConnectionUse;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
 use crate::targets::StreamedReply;
@@ -99,13 +101,28 @@
         RepeatRule::UntilFirstByte => MAX_WHOLE_DOWNLOAD_BYTES,
         RepeatRule::Idempotent | RepeatRule::AtMostOnce => MAX_WHOLE_BYTES,
     };
-    let options = ExchangeOptions { deadline: until, max_idle, max_whole_bytes };
+    let connection = ConnectionUse::Shared { max_idle };
+    let options = ExchangeOptions { deadline: until, connection, max_whole_bytes };
     let is_repeatable = request.rule.repeat != RepeatRule::AtMostOnce;
+    let was_sent = Cell::new(false);
+    let may_send = || {
+        was_sent.set(true);
+        true
+    };
     let end = tokio::select! {
         biased;
-        end = host.connections.exchange(address, outgoing, &options, || true) => end,
+        end = host.connections.exchange(address, outgoing, &options, may_send) => end,
         () = host.path_silence(), if is_repeatable && request.origin == RequestOrigin::Caller => {
             drop(in_flight);
+            if !was_sent.get() {
+                // The connection has not been established yet.
+                permit.finish(AttemptOutcome::Cancelled);
+                return ForwardOutcome::NotExecuted {
+                    reason: PATH_LOST,
+                    reached: false,
+                    misdirected: false,
+                };
+            }
             permit.finish(AttemptOutcome::Unanswered);
             return ForwardOutcome::Unknown {
                 status: StatusCode::BAD_GATEWAY,
--- a/crates/gw-gateway/src/targets/exchange.rs
+++ b/crates/gw-gateway/src/targets/exchange.rs
@@ -6,13 +6,26 @@
 
 use crate::targets::TargetStream;
 
+/// Which connection an exchange uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionUse {
+    /// A pooled connection that was idle for less than this, or a new one, which is pooled
+    /// afterwards.
+    Shared {
+        /// Longest idle time of a pooled connection.
+        max_idle: Duration,
+    },
+    /// A new connection that carries nothing else and is closed afterwards. Whatever arrives on it
+    /// answers this exchange.
+    Exclusive,
+}
+
 /// Limits of an exchange with a target.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ExchangeOptions {
     /// Until when a response is waited for.
     pub(crate) deadline: Instant,
-    /// A pooled connection is used only if it was idle for less than this.
-    pub(crate) max_idle: Duration,
+    pub(crate) connection: ConnectionUse,
     /// Largest body, in bytes, that is read completely before the response is returned.
     pub(crate) max_whole_bytes: usize,
 }
--- a/crates/gw-gateway/src/targets/mod.rs
+++ b/crates/gw-gateway/src/targets/mod.rs
@@ -6,6 +6,7 @@
 mod target_connections;
 mod target_stream;
 
+pub(crate) use exchange::ConnectionUse;
 pub(crate) use exchange::ExchangeOptions;
 pub(crate) use exchange::ExchangeOutcome;
 pub(crate) use exchange::StreamedReply;
--- a/crates/gw-gateway/src/targets/order_sender.rs
+++ b/crates/gw-gateway/src/targets/order_sender.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::ports::ProtocolAdapter;
+use crate::targets::ConnectionUse;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
 use crate::targets::TargetConnections;
@@ -31,7 +32,7 @@
     pub(crate) is_leaving: bool,
 }
 
-/// Sends an order to a target. The order is dropped if `may_send` returns `false` right before it
+/// Sends an order to a target over a connection of its own. The order is dropped if `may_send` returns `false` right before it
 /// would be handed to the connection.
 pub(crate) async fn send_order(
     adapter: &dyn ProtocolAdapter,
@@ -63,33 +64,14 @@
     };
     let options = ExchangeOptions {
         deadline: Instant::now() + limit,
-        max_idle: Duration::MAX,
+        // Responses to orders have no id. A faulty target may write an earlier response once more,
+        // at any time and with any content, so only the first response on a connection is certain
+        // to be that to the order.
+        connection: ConnectionUse::Exclusive,
         max_whole_bytes: MAX_REPLY_BYTES,
     };
-    let end = connections.exchange(address, request.clone(), &options, &may_send).await;
-    if !is_doubtful(adapter, &end) {
-        return read_reply(adapter, order, end);
-    }
-    // Orders can be repeated; the answer over a new connection is that to this order.
-    log::warn!("event=order_answer_doubtful target={} address={address}", order.holder);
-    connections.close_idle(address);
-    let options = ExchangeOptions { max_idle: Duration::ZERO, ..options };
     let end = connections.exchange(address, request, &options, &may_send).await;
-    match read_reply(adapter, order, end) {
-        // The first one was sent.
-        OrderReply { outcome: OrderOutcome::NotSent, .. } => {
-            OrderReply { outcome: OrderOutcome::Unanswered, is_leaving: false }
-        }
-        reply => reply,
-    }
-}
-
-/// Whether an answer may be that to an earlier order or request on the same connection, which a
-/// faulty target has written once more. Answers to orders have no id.
-fn is_doubtful(adapter: &dyn ProtocolAdapter, end: &ExchangeOutcome) -> bool {
-    let ExchangeOutcome::Replied(reply) = end else { return false };
-    let has_id = adapter.read_response_metadata(&reply.head).request_id.is_some();
-    reply.was_pooled && (has_id || !reply.head.status.is_success())
+    read_reply(adapter, order, end)
 }
 
 fn read_reply(
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -26,6 +26,7 @@
 use tokio::time::timeout_at;
 
 use crate::ports::TargetDialer;
+use crate::targets::ConnectionUse;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
 use crate::targets::StreamedReply;
@@ -38,6 +39,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Idle time of a pooled connection when the target states none.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(5);
+/// Longest idle time that a target can state, since one near 2^64 seconds exceeds the clock's range.
+/// Far longer than connections stay idle in a pool that is in use.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
 /// Fraction of the idle time stated by the target for which a connection is used.
 const IDLE_TIME_SHARE: f64 = 0.6;
 /// Largest number of idle connections per target.
@@ -180,7 +184,10 @@
         let deadline = options.deadline;
         let mut request = request;
         loop {
-            let pooled = self.take_idle(address, options.max_idle);
+            let pooled = match options.connection {
+                ConnectionUse::Shared { max_idle } => self.take_idle(address, max_idle),
+                ConnectionUse::Exclusive => None,
+            };
             let is_pooled = pooled.is_some();
             let mut connection = match pooled {
                 Some(connection) => connection,
@@ -203,6 +210,10 @@
                 return ExchangeOutcome::NotSent("sending is no longer allowed".to_owned());
             }
             let started = Instant::now();
+            if started >= deadline {
+                // The response could not arrive in time, and the outcome would be unknown.
+                return ExchangeOutcome::NotSent("connected after the deadline".to_owned());
+            }
             self.path.borrow_mut().record_sent(BootClock.now());
             let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
             if sent.is_ok() {
@@ -260,7 +271,9 @@
         });
         let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
-        let idle_time = (!closes && is_framed).then(|| idle_time(&head.headers));
+        let is_shared = options.connection != ConnectionUse::Exclusive;
+        let may_keep = is_shared && !closes && is_framed;
+        let idle_time = may_keep.then(|| idle_time(&head.headers));
         let (received, elapsed) = (received.freeze(), started.elapsed());
         if is_large {
             let (connection, body) = ((connection, idle_time), (received, body, len.is_some()));
@@ -308,6 +321,6 @@
     let parts = value.into_iter().flat_map(|value| value.split(','));
     let mut seconds = parts.filter_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok());
     seconds.next().map_or(DEFAULT_IDLE_TIME, |seconds: u64| {
-        Duration::from_secs(seconds).mul_f64(IDLE_TIME_SHARE)
+        Duration::from_secs(seconds).min(MAX_IDLE_TIME).mul_f64(IDLE_TIME_SHARE)
     })
 }
