--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,6 +32,7 @@
 use crate::entry::relay_headers::TARGET_UNREACHABLE;
 use crate::entry::transfer_gate::TransferSlot;
 use crate::ports::AttemptMetadata;
+use crate::targets::ConnectionUse;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
 use crate::targets::StreamedReply;
@@ -100,16 +102,32 @@
         RepeatRule::UntilFirstByte => MAX_WHOLE_DOWNLOAD_BYTES,
         RepeatRule::Idempotent | RepeatRule::AtMostOnce => MAX_WHOLE_BYTES,
     };
-    let options = ExchangeOptions { deadline: until, max_idle, max_whole_bytes };
+    let connection = ConnectionUse::Shared { max_idle };
+    let options = ExchangeOptions { deadline: until, connection, max_whole_bytes };
     // The zone may become evacuated while a connection is opened.
     let is_keyed = request.params.key.is_some();
     let is_closed = || host.pool.borrow().is_closed(host.now(), &holder, is_keyed);
     let is_repeatable = request.rule.repeat != RepeatRule::AtMostOnce;
+    let was_sent = Cell::new(false);
+    let may_send = || {
+        let may_send = !is_closed();
+        was_sent.set(may_send);
+        may_send
+    };
     let end = tokio::select! {
         biased;
-        end = host.connections.exchange(address, outgoing, &options, || !is_closed()) => end,
+        end = host.connections.exchange(address, outgoing, &options, may_send) => end,
         () = host.path_silence(), if is_repeatable && request.origin == RequestOrigin::Caller => {
             drop(in_flight);
+            if !was_sent.get() {
+                // The connection has not been established yet.
+                permit.finish(AttemptOutcome::Cancelled);
+                return ForwardOutcome::NotExecuted {
+                    reason: PATH_LOST,
+                    reached: false,
+                    misdirected: false,
+                };
+            }
             permit.finish(AttemptOutcome::Unanswered);
             return ForwardOutcome::Unknown {
                 status: StatusCode::BAD_GATEWAY,
