--- a/crates/gw-agreement/src/leader_replication.rs
+++ b/crates/gw-agreement/src/leader_replication.rs
@@ -9,9 +9,16 @@
 use crate::MessageBody;
 use crate::ProposeError;
 use crate::ReplicaNode;
+use crate::ReplicaOptions;
 use crate::leader_state::LeaderState;
+use crate::member_progress::MemberProgress;
+use crate::member_progress::SentBatch;
 use crate::member_progress::SnapshotTransfer;
 
+/// Maximum size of the entries that are sent to a member whose log may not match, in bytes. They are
+/// repeated with each heartbeat until it responds, so that they must not fill a slow link.
+const MAX_PROBE_BYTES: usize = 16 * 1024;
+
 /// Replication on the leader.
 impl ReplicaNode {
     /// Returns the latest time such that a majority, this replica included, has responded to a
@@ -57,15 +64,42 @@
         }
     }
 
-    /// Sends the next batch or snapshot chunk even if earlier ones are unacknowledged, since those
-    /// may be lost.
+    /// Sends the next batch or, while earlier data is on its way, a message without data, so that a
+    /// slow link is not filled with more than the member has asked for. Data that should have arrived
+    /// by now is sent again.
     fn send_heartbeat(&mut self, now: Timestamp, host: HostId) {
+        let Some(member) = self.role.leader_state_mut().and_then(|s| s.member_mut(host)) else {
+            return;
+        };
+        member.check_loss(now);
+        member.probe_sent = false;
+        if member.has_data_in_flight() {
+            self.send_keep_alive(now, host);
+        } else if member.snapshot.is_some() {
+            self.send_snapshot_chunk(now, host);
+        } else {
+            self.send_batch(now, host);
+        }
+    }
+
+    /// Sends a message that the member accepts whether or not the data in flight has arrived: it
+    /// refers to an entry that the member is known to have, or to the start of the log.
+    fn send_keep_alive(&mut self, now: Timestamp, host: HostId) {
+        let Some(member) = self.role.leader_state().and_then(|state| state.member(host)) else {
+            return;
+        };
+        let known = self.log.term_at(member.match_index).map(|term| (member.match_index, term));
+        let (previous_index, previous_term) = known.unwrap_or_default();
+        let (commit_index, sent_at, entries) = (self.commit_index, now, Vec::new());
+        let body =
+            MessageBody::Append { previous_index, previous_term, entries, commit_index, sent_at };
+        self.send(host, body);
+    }
+
+    /// Reports that the connection to `host` was lost, with all messages on their way.
+    pub fn connection_lost(&mut self, host: HostId) {
         if let Some(member) = self.role.leader_state_mut().and_then(|s| s.member_mut(host)) {
-            member.batches_in_flight = 0;
-            match member.snapshot {
-                Some(_) => self.send_snapshot_chunk(now, host),
-                None => self.send_batch(now, host),
-            }
+            member.record_loss();
         }
     }
 
@@ -120,16 +154,14 @@
             && self.commit_index >= self.log.membership_index()
     }
 
-    /// Sends entries to each member that lags behind, up to the limit of batches in flight.
+    /// Sends entries to each member that lags behind, up to the limits of batches in flight.
     pub(crate) fn replicate(&mut self, now: Timestamp) {
-        let last_index = self.log.last_index();
-        let max_in_flight = self.options.max_batches_in_flight;
         let count = self.role.leader_state().map_or(0, |state| state.members.len());
         for position in 0..count {
             while let Some(state) = self.role.leader_state()
                 && let member = &state.members[position]
-                && member.next_index <= last_index
-                && member.can_send_batch(max_in_flight)
+                && member.next_index <= self.log.last_index()
+                && self.can_send_batch(member)
             {
                 let host = member.host;
                 self.send_batch(now, host);
@@ -137,18 +169,42 @@
         }
     }
 
+    fn can_send_batch(&self, member: &MemberProgress) -> bool {
+        let ReplicaOptions { max_batches_in_flight, max_in_flight_bytes, .. } = self.options;
+        let bytes = self.log.batch_bytes(member.next_index, self.options.max_batch_bytes);
+        let can_probe = member.probing && !member.probe_sent && member.snapshot.is_none();
+        can_probe || member.can_send(bytes, max_batches_in_flight, max_in_flight_bytes)
+    }
+
     fn send_batch(&mut self, now: Timestamp, host: HostId) {
         let Some(state) = self.role.leader_state_mut() else { return };
         let Some(member) = state.member_mut(host) else { return };
-        let previous_index = member.next_index.previous();
-        let Some(previous_term) = self.log.term_at(previous_index) else {
+        let from = member.next_index;
+        let previous_index = from.previous();
+        let previous_term = self.log.term_at(previous_index);
+        let Some(previous_term) = previous_term.filter(|_| !self.log.is_snapshot_smaller(from))
+        else {
             self.start_snapshot_transfer(now, host);
             return;
         };
-        let last_index = self.log.last_index();
-        let entries = self.log.batch(member.next_index, last_index, self.options.max_batch_bytes);
-        member.next_index = LogIndex(member.next_index.0 + entries.len() as u64);
-        member.batches_in_flight += 1;
+        let entries = match member.probing {
+            true => {
+                member.probe_sent = true;
+                let limit = MAX_PROBE_BYTES.min(self.options.max_batch_bytes);
+                let mut entries = self.log.batch(from, self.log.last_index(), limit);
+                entries.retain(|entry| entry.size_bytes() <= limit);
+                entries
+            }
+            false => {
+                let limit = self.options.max_batch_bytes;
+                let entries = self.log.batch(from, self.log.last_index(), limit);
+                if let Some(last) = entries.last() {
+                    let bytes = self.log.size_bytes(from, last.index);
+                    member.record_sent(now, SentBatch { last_index: last.index, bytes });
+                }
+                entries
+            }
+        };
         let commit_index = self.commit_index;
         let sent_at = now;
         let body =
@@ -160,14 +216,16 @@
     fn start_snapshot_transfer(&mut self, now: Timestamp, host: HostId) {
         let Some(snapshot) = self.log.snapshot().cloned() else { return };
         if let Some(member) = self.role.leader_state_mut().and_then(|s| s.member_mut(host)) {
-            member.snapshot = Some(SnapshotTransfer { snapshot, offset: 0 });
+            member.in_flight.clear();
+            member.snapshot = Some(SnapshotTransfer { snapshot, offset: 0, chunk_bytes: 0 });
             self.send_snapshot_chunk(now, host);
         }
     }
 
     fn send_snapshot_chunk(&mut self, now: Timestamp, host: HostId) {
-        let Some(member) = self.role.leader_state().and_then(|s| s.member(host)) else { return };
-        let Some(SnapshotTransfer { snapshot, offset }) = &member.snapshot else { return };
+        let state = self.role.leader_state_mut();
+        let Some(member) = state.and_then(|state| state.member_mut(host)) else { return };
+        let Some(SnapshotTransfer { snapshot, offset, .. }) = &member.snapshot else { return };
         let end = snapshot.data.len().min(offset + self.options.snapshot_chunk_bytes);
         let body = MessageBody::SnapshotChunk {
             meta: snapshot.meta.clone(),
@@ -176,6 +234,9 @@
             bytes: snapshot.data[*offset..end].to_vec(),
             sent_at: now,
         };
+        // An empty snapshot is one chunk as well.
+        let chunk_bytes = (end - *offset).max(1);
+        member.record_chunk_sent(now, chunk_bytes);
         self.send(host, body);
     }
 
@@ -192,7 +253,7 @@
         match body {
             MessageBody::Matched { match_index, sent_at } if match_index <= last_index => {
                 member.record_contact(sent_at.min(now));
-                member.record_match(match_index);
+                member.record_match(now, match_index);
                 self.advance_commit(now);
                 self.promote_learner(now, from);
                 self.send_timeout_now();
@@ -216,12 +277,14 @@
         index: LogIndex,
         received_bytes: u64,
     ) {
-        let member = self.role.leader_state_mut().and_then(|state| state.member_mut(from));
-        let Some(transfer) = member.and_then(|member| member.snapshot.as_mut()) else { return };
+        let state = self.role.leader_state_mut();
+        let Some(member) = state.and_then(|state| state.member_mut(from)) else { return };
+        let Some(transfer) = member.snapshot.as_mut() else { return };
         let received_bytes = (received_bytes as usize).min(transfer.snapshot.data.len());
         // A duplicated response must not start a second sequence of chunks.
         if transfer.snapshot.meta.index == index && transfer.offset != received_bytes {
             transfer.offset = received_bytes;
+            member.record_progress(now);
             self.send_snapshot_chunk(now, from);
         }
     }
--- a/crates/gw-agreement/src/log_entry.rs
+++ b/crates/gw-agreement/src/log_entry.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -26,8 +28,9 @@
     /// Appended by each leader at the start of its term, so that entries of earlier terms can be
     /// committed.
     Noop,
-    /// A command of the application, opaque to this crate.
-    Command(Vec<u8>),
+    /// A command of the application, opaque to this crate. Shared by the copies of the entry in the
+    /// log, in messages and in batches to write.
+    Command(Arc<[u8]>),
     /// The group's membership from this entry on.
     Membership(Membership),
 }
--- a/crates/gw-agreement/src/replica_log.rs
+++ b/crates/gw-agreement/src/replica_log.rs
@@ -16,6 +16,10 @@
     base_index: LogIndex,
     base_term: Term,
     entries: VecDeque<LogEntry>,
+    /// For each of `entries`, the size of all entries up to it since the replica was started.
+    ends: VecDeque<u64>,
+    /// Size of the entries that preceded `entries` since the replica was started.
+    base_end: u64,
     /// Memberships and the indexes from which they are in force, oldest first. Never empty.
     memberships: Vec<(LogIndex, Membership)>,
     /// The latest snapshot. Its index is not lower than `base_index`.
@@ -39,6 +43,8 @@
             base_index: meta.index,
             base_term: meta.term,
             entries: VecDeque::new(),
+            ends: VecDeque::new(),
+            base_end: 0,
             memberships: vec![(meta.index, meta.membership)],
             snapshot,
             first_unwritten: meta.index.next(),
@@ -98,10 +104,34 @@
         batch
     }
 
+    /// Returns the size of the batch of at most `max_bytes` that starts at `from`, in bytes.
+    pub(crate) fn batch_bytes(&self, from: LogIndex, max_bytes: usize) -> usize {
+        let first = self.get(from).map_or(0, LogEntry::size_bytes);
+        self.size_bytes(from, self.last_index()).min(max_bytes).max(first)
+    }
+
     /// Returns the total size of the entries `from..=to`.
     pub(crate) fn size_bytes(&self, from: LogIndex, to: LogIndex) -> usize {
-        let entries = (from.0..=to.0).filter_map(|index| self.get(LogIndex(index)));
-        entries.map(LogEntry::size_bytes).sum()
+        self.end_of(to).saturating_sub(self.end_of(from.previous())) as usize
+    }
+
+    /// Returns the size of all entries up to `index` since the replica was started; for an entry
+    /// that is not in memory, up to the closest one that is.
+    fn end_of(&self, index: LogIndex) -> u64 {
+        match index.0.checked_sub(self.base_index.0 + 1) {
+            Some(position) => {
+                let position = (position as usize).min(self.ends.len().saturating_sub(1));
+                self.ends.get(position).copied().unwrap_or(self.base_end)
+            }
+            None => self.base_end,
+        }
+    }
+
+    /// Returns whether a member that has the entries before `from` needs fewer bytes if it gets the
+    /// snapshot instead of the entries that the snapshot covers.
+    pub(crate) fn is_snapshot_smaller(&self, from: LogIndex) -> bool {
+        let len = self.snapshot.as_ref().map_or(usize::MAX, |snapshot| snapshot.data.len());
+        from <= self.snapshot_index() && len < self.size_bytes(from, self.snapshot_index())
     }
 
     /// Appends an entry, whose index must follow the last one.
@@ -110,6 +140,8 @@
         if let EntryPayload::Membership(membership) = &entry.payload {
             self.memberships.push((entry.index, membership.clone()));
         }
+        let end = self.ends.back().copied().unwrap_or(self.base_end);
+        self.ends.push_back(end + entry.size_bytes() as u64);
         self.entries.push_back(entry);
     }
 
@@ -117,6 +149,7 @@
     pub(crate) fn truncate_from(&mut self, index: LogIndex) {
         let keep = index.0.saturating_sub(self.base_index.0 + 1) as usize;
         self.entries.truncate(keep);
+        self.ends.truncate(keep);
         self.memberships.retain(|(from, _)| *from < index || *from <= self.base_index);
         self.truncate_unwritten(index);
     }
@@ -161,8 +194,14 @@
     }
 
     /// Replaces the entries up to the applied one at `index` by a snapshot, but keeps the last
-    /// `retained` of them in memory.
-    pub(crate) fn compact(&mut self, index: LogIndex, data: Vec<u8>, retained: u64) {
+    /// `retained` of them in memory, as far as their size is at most `retained_bytes`.
+    pub(crate) fn compact(
+        &mut self,
+        index: LogIndex,
+        data: Vec<u8>,
+        retained: u64,
+        retained_bytes: usize,
+    ) {
         let Some(term) = self.term_at(index) else { return };
         let membership = self.membership_at(index).clone();
         let in_force = self.memberships.iter().rposition(|(from, _)| *from <= index).unwrap_or(0);
@@ -170,12 +209,21 @@
         self.snapshot =
             Some(Snapshot { meta: SnapshotMeta { index, term, membership }, data: data.into() });
         self.snapshot_unwritten = true;
-        self.discard_up_to(LogIndex(index.0.saturating_sub(retained)));
+        let limit = self.end_of(index).saturating_sub(retained_bytes as u64);
+        let by_count = index.0.saturating_sub(retained);
+        let by_bytes = match limit > self.base_end {
+            true => self.base_index.0 + self.ends.partition_point(|end| *end < limit) as u64 + 1,
+            false => 0,
+        };
+        self.discard_up_to(LogIndex(by_count.max(by_bytes)));
     }
 
     fn discard_up_to(&mut self, index: LogIndex) {
         if let Some(term) = self.term_at(index).filter(|_| index > self.base_index) {
-            self.entries.drain(..(index.0 - self.base_index.0) as usize);
+            let count = (index.0 - self.base_index.0) as usize;
+            self.base_end = self.end_of(index);
+            self.ends.drain(..count);
+            self.entries.drain(..count);
             self.base_index = index;
             self.base_term = term;
         }
@@ -190,6 +238,7 @@
         } else {
             self.truncate_unwritten(meta.index.next());
             self.entries.clear();
+            self.ends.clear();
             self.base_index = meta.index;
             self.base_term = meta.term;
         }
--- a/crates/gw-agreement/src/replica_node.rs
+++ b/crates/gw-agreement/src/replica_node.rs
@@ -162,7 +162,7 @@
     /// The command is committed once an entry with this index and the current term is returned in
     /// `Ready::committed`. If that entry has another term, the command was lost.
     pub fn propose(&mut self, now: Timestamp, command: Vec<u8>) -> Result<LogIndex, ProposeError> {
-        let limit = self.options.max_batch_bytes;
+        let limit = self.options.max_command_bytes;
         if command.len() > limit {
             return Err(ProposeError::TooLarge { len: command.len(), limit });
         }
@@ -170,7 +170,7 @@
         if state.uncommitted_bytes > self.options.max_uncommitted_bytes {
             return Err(ProposeError::Busy);
         }
-        Ok(self.append_as_leader(EntryPayload::Command(command)))
+        Ok(self.append_as_leader(EntryPayload::Command(command.into())))
     }
 
     /// Appends a membership change to the leader's log and returns its index.
@@ -212,7 +212,8 @@
     /// returned in `Ready::committed`. Ignored unless it is newer than the last snapshot.
     pub fn save_snapshot(&mut self, index: LogIndex, data: Vec<u8>) {
         if index <= self.last_applied && index > self.log.snapshot_index() {
-            self.log.compact(index, data, self.options.retained_entries);
+            let (entries, bytes) = (self.options.retained_entries, self.options.retained_bytes);
+            self.log.compact(index, data, entries, bytes);
         }
     }
 
@@ -401,6 +402,16 @@
         self.log.last_index()
     }
 
+    /// Returns the size of the applied entries that no snapshot covers, in bytes.
+    pub fn bytes_since_snapshot(&self) -> usize {
+        self.log.size_bytes(self.log.snapshot_index().next(), self.last_applied)
+    }
+
+    /// Returns the size of the entries in memory, in bytes.
+    pub fn log_bytes(&self) -> usize {
+        self.log.size_bytes(self.log.base_index().next(), self.log.last_index())
+    }
+
     /// Returns the membership in force, committed or not.
     pub fn membership(&self) -> &Membership {
         self.log.membership()
--- a/crates/gw-agreement/src/replica_options.rs
+++ b/crates/gw-agreement/src/replica_options.rs
@@ -19,9 +19,14 @@
     pub election_timeout_min: Duration,
     /// Longest election timeout.
     pub election_timeout_max: Duration,
-    /// Maximum size of the entries in a message or in `Ready::committed`, and of a command, in
-    /// bytes.
+    /// Maximum size of a command, in bytes.
+    pub max_command_bytes: usize,
+    /// Maximum size of the entries in a message or in `Ready::committed`, in bytes. A larger entry
+    /// is sent alone.
     pub max_batch_bytes: usize,
+    /// Maximum size of the entries that are sent to a member before it responds to the first of
+    /// them, in bytes. A larger batch is sent while no other is in flight.
+    pub max_in_flight_bytes: usize,
     /// Maximum number of batches that are sent to a member before it responds to the first of them.
     pub max_batches_in_flight: usize,
     /// Size of uncommitted entries above which the leader rejects proposals, in bytes.
@@ -33,6 +38,8 @@
     /// Number of entries covered by a snapshot that are kept in memory, so that a member that lags
     /// slightly does not need the snapshot.
     pub retained_entries: u64,
+    /// Maximum size of those entries, in bytes.
+    pub retained_bytes: usize,
     /// Seed of the election timeouts. Should differ between replicas and between restarts.
     pub seed: u64,
     /// Fault to inject, for tests that verify that the invariant checks detect it.
@@ -66,12 +73,15 @@
             heartbeat_interval: Duration::from_millis(100),
             election_timeout_min: Duration::from_millis(500),
             election_timeout_max: Duration::from_millis(700),
+            max_command_bytes: 256 * 1024,
             max_batch_bytes: 256 * 1024,
+            max_in_flight_bytes: 1024 * 1024,
             max_batches_in_flight: 4,
             max_uncommitted_bytes: 8 * 1024 * 1024,
             snapshot_chunk_bytes: 64 * 1024,
             max_snapshot_bytes: 256 * 1024 * 1024,
             retained_entries: 1024,
+            retained_bytes: 16 * 1024 * 1024,
             seed,
             injected_fault: None,
         }
--- a/crates/gw-agreement/tests/harness/cluster.rs
+++ b/crates/gw-agreement/tests/harness/cluster.rs
@@ -1,7 +1,9 @@
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use gw_agreement::Envelope;
@@ -30,8 +32,38 @@
     pub(crate) long_delay_chance: u64,
 }
 
+/// Directed link that transmits large messages one after the other.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SlowLink {
+    pub(crate) bytes_per_ms: u64,
+    /// When the last large message will have arrived.
+    pub(crate) busy_until: Timestamp,
+    /// Arrival and size of the large messages on their way.
+    pub(crate) on_the_way: VecDeque<(Timestamp, u64)>,
+    /// Largest number of bytes that were on their way at a time.
+    pub(crate) peak_bytes: u64,
+    /// Bytes of large messages that were sent.
+    pub(crate) sent_bytes: u64,
+    /// Number of times that the connection was lost, with all messages on their way.
+    pub(crate) run: u32,
+}
+
+impl SlowLink {
+    /// Returns when a message of `bytes` bytes that is sent at `now` arrives.
+    fn transmit(&mut self, now: Timestamp, bytes: u64) -> Timestamp {
+        self.on_the_way.retain(|(arrival, _)| *arrival > now);
+        let millis = bytes / self.bytes_per_ms;
+        self.busy_until = self.busy_until.max(now) + Duration::from_millis(millis);
+        self.on_the_way.push_back((self.busy_until, bytes));
+        self.sent_bytes += bytes;
+        let on_the_way = self.on_the_way.iter().map(|(_, bytes)| bytes).sum();
+        self.peak_bytes = self.peak_bytes.max(on_the_way);
+        self.busy_until
+    }
+}
+
 enum Event {
-    Deliver { from: HostId, to: HostId, message: Message },
+    Deliver { from: HostId, to: HostId, message: Message, link_run: u32 },
     Wake { host: HostId, at: Timestamp },
     Synced { host: HostId, run: u32 },
     Restart { host: HostId, run: u32 },
@@ -44,6 +76,9 @@
     pub(crate) network: Network,
     pub(crate) replicas: Vec<Replica>,
     pub(crate) checks: InvariantChecks,
+    /// Links of limited speed. Large messages wait for each other; small ones pass them, like frames
+    /// that are sent between the fragments of a large one.
+    pub(crate) slow_links: BTreeMap<(HostId, HostId), SlowLink>,
     /// Directed links, from sender to receiver, that lose all messages.
     pub(crate) cut_links: HashSet<(HostId, HostId)>,
     /// Drops batches with entries of later terms, but not heartbeats: a new leader stays leader,
@@ -79,6 +114,7 @@
             network: Network::default(),
             replicas,
             checks: InvariantChecks::default(),
+            slow_links: BTreeMap::new(),
             cut_links: HashSet::new(),
             drop_entries_above: None,
             options,
@@ -187,6 +223,14 @@
         self.with_replica(host, |running, now| running.propose(now, command))
     }
 
+    /// Proposes a command of `bytes` bytes.
+    pub(crate) fn propose_large(&mut self, host: HostId, bytes: usize) -> CheckResult {
+        self.commands += 1;
+        let mut command = self.commands.to_le_bytes().to_vec();
+        command.resize(bytes, 0);
+        self.with_replica(host, |running, now| running.propose(now, command))
+    }
+
     /// Processes the events of the next `millis` milliseconds.
     pub(crate) fn run(&mut self, millis: u64) -> CheckResult {
         let end = self.after(millis);
@@ -218,9 +262,12 @@
         }
         let run = self.replica(host).run;
         match event {
-            Event::Deliver { from, message, .. } if self.is_syncing(host) => {
+            Event::Deliver { from, link_run, .. } if link_run != self.link_run(from, host) => {
+                Ok(())
+            }
+            Event::Deliver { from, message, link_run, .. } if self.is_syncing(host) => {
                 let at = self.after(1);
-                self.schedule(at, Event::Deliver { from, to: host, message });
+                self.schedule(at, Event::Deliver { from, to: host, message, link_run });
                 Ok(())
             }
             Event::Deliver { from, message, .. } => {
@@ -240,6 +287,19 @@
         }
     }
 
+    fn link_run(&self, from: HostId, to: HostId) -> u32 {
+        self.slow_links.get(&(from, to)).map_or(0, |link| link.run)
+    }
+
+    /// Loses everything that is on its way over a slow link.
+    pub(crate) fn break_link(&mut self, from: HostId, to: HostId) {
+        if let Some(link) = self.slow_links.get_mut(&(from, to)) {
+            link.run += 1;
+            link.busy_until = Timestamp::ZERO;
+            link.on_the_way.clear();
+        }
+    }
+
     fn is_syncing(&mut self, host: HostId) -> bool {
         self.running(host).is_some_and(|running| running.syncing.is_some())
     }
@@ -309,12 +369,30 @@
                     let delay = if is_long { self.rng.between(10, 1200) } else { 4 };
                     let at = self.after(self.rng.clone().between(1, delay.max(4)));
                     self.rng.next();
-                    self.schedule(at, Event::Deliver { from, to, message: message.clone() });
+                    let at = at.max(self.transmit(from, to, &message.body));
+                    let (message, link_run) = (message.clone(), self.link_run(from, to));
+                    self.schedule(at, Event::Deliver { from, to, message, link_run });
                 }
             }
         }
     }
 
+    /// Returns when a message arrives over a slow link, or zero if the link is fast or the message
+    /// is small.
+    fn transmit(&mut self, from: HostId, to: HostId, body: &MessageBody) -> Timestamp {
+        let bytes = match body {
+            MessageBody::Append { entries, .. } => {
+                entries.iter().map(|entry| entry.encode().len()).sum()
+            }
+            MessageBody::SnapshotChunk { bytes, .. } => bytes.len(),
+            _ => 0,
+        };
+        match self.slow_links.get_mut(&(from, to)) {
+            Some(link) if bytes > 0 => link.transmit(self.now, bytes as u64),
+            _ => Timestamp::ZERO,
+        }
+    }
+
     fn record_message_size(&mut self, body: &MessageBody) {
         match body {
             MessageBody::Append { entries, .. } if entries.len() > 1 => {
--- a/crates/gw-agreement/tests/harness/replica.rs
+++ b/crates/gw-agreement/tests/harness/replica.rs
@@ -38,11 +38,15 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ClusterOptions {
     pub(crate) fault: Option<InjectedFault>,
+    pub(crate) max_command_bytes: usize,
     pub(crate) max_batch_bytes: usize,
+    pub(crate) max_in_flight_bytes: usize,
     pub(crate) max_batches_in_flight: usize,
     pub(crate) retained_entries: u64,
+    pub(crate) retained_bytes: usize,
     pub(crate) snapshot_every: u64,
     pub(crate) snapshot_bytes: usize,
+    pub(crate) snapshot_chunk_bytes: usize,
 }
 
 /// One host with its disk, which survives crashes, and its replica process.
@@ -97,10 +101,13 @@
         }
         last_written.extend(recovered.entries.iter().map(|entry| (entry.index, entry.term)));
         let mut options = ReplicaOptions::new(self.id, self.initial.clone(), seed);
+        options.max_command_bytes = self.cluster_options.max_command_bytes;
+        options.max_in_flight_bytes = self.cluster_options.max_in_flight_bytes;
+        options.retained_bytes = self.cluster_options.retained_bytes;
         options.max_batch_bytes = self.cluster_options.max_batch_bytes;
         options.max_batches_in_flight = self.cluster_options.max_batches_in_flight;
         options.retained_entries = self.cluster_options.retained_entries;
-        options.snapshot_chunk_bytes = 24;
+        options.snapshot_chunk_bytes = self.cluster_options.snapshot_chunk_bytes;
         options.injected_fault = self.cluster_options.fault;
         self.run += 1;
         self.wake_at = Timestamp::MAX;
--- a/crates/gw-agreement/tests/harness/schedule.rs
+++ b/crates/gw-agreement/tests/harness/schedule.rs
@@ -31,10 +31,14 @@
     let mut rng = Rng(seed);
     let options = ClusterOptions {
         fault: group.fault,
+        max_command_bytes: 400,
+        max_in_flight_bytes: 800,
+        retained_bytes: 160,
         max_batch_bytes: if rng.percent(50) { 40 } else { 400 },
         max_batches_in_flight: rng.between(1, 4) as usize,
         retained_entries: rng.below(6),
         snapshot_every: rng.between(3, 20),
+        snapshot_chunk_bytes: 24,
         snapshot_bytes: rng.between(8, 120) as usize,
     };
     let mut cluster = Cluster::new(rng.next(), group.voters, group.spares, options)?;
--- a/crates/gw-agreement/tests/scenarios.rs
+++ b/crates/gw-agreement/tests/scenarios.rs
@@ -23,11 +23,15 @@
 fn options() -> ClusterOptions {
     ClusterOptions {
         fault: None,
+        max_command_bytes: 1 << 20,
         max_batch_bytes: 2000,
+        max_in_flight_bytes: 1 << 20,
         max_batches_in_flight: 4,
         retained_entries: 0,
+        retained_bytes: 0,
         snapshot_every: u64::MAX,
         snapshot_bytes: 0,
+        snapshot_chunk_bytes: 24,
     }
 }
 
--- a/crates/gw-daemon/src/control/journal_writer.rs
+++ b/crates/gw-daemon/src/control/journal_writer.rs
@@ -3,6 +3,7 @@
 use gw_agreement::DecodeError;
 use gw_agreement::HardState;
 use gw_agreement::LogEntry;
+use gw_agreement::Membership;
 use gw_agreement::PersistBatch;
 use gw_agreement::RecoveredState;
 use gw_agreement::Snapshot;
@@ -15,6 +16,11 @@
 use gw_journal::SnapshotRecord;
 use gw_types::HostId;
 
+use crate::control::RecoveredLog;
+use crate::control::RecoveryBounds;
+use crate::control::log_recovery::LogRecovery;
+use crate::control::log_recovery::RecoveredEntries;
+
 /// Error when the state of a control replica is read or written.
 #[derive(Debug, thiserror::Error)]
 pub enum JournalError {
@@ -27,6 +33,9 @@
     /// A record or snapshot of the journal cannot be decoded.
     #[error("journal content: {0}")]
     Content(#[from] DecodeError),
+    /// The state that was recovered cannot be encoded.
+    #[error("recovered state: {0}")]
+    Snapshot(String),
 }
 
 /// Writes the log, term, vote and snapshots of a control replica to its data folder.
@@ -39,25 +48,47 @@
     pub fn open(folder: &Path) -> Result<(Self, RecoveredState), JournalError> {
         let storage = FileStorage::new(folder)?;
         let (journal, recovered) = Journal::open(Box::new(storage), JournalOptions::default())?;
-        if recovered.discarded_tail_bytes > 0 {
-            log::warn!("event=journal_tail_cut bytes={}", recovered.discarded_tail_bytes);
-        }
+        log_discarded(recovered.discarded_tail_bytes);
         Ok((Self { journal }, decode(recovered)?))
     }
 
+    /// Like [`JournalWriter::open`], but holds at most as many entries in memory as `bounds` permit:
+    /// those that are known to be committed are applied to `state` and replaced by a snapshot. A
+    /// journal whose other entries exceed the bounds is refused. `initial` is the membership of a
+    /// group without a snapshot.
+    pub fn open_bounded(
+        folder: &Path,
+        bounds: RecoveryBounds,
+        initial: Membership,
+        state: &mut dyn RecoveredLog,
+    ) -> Result<(Self, RecoveredState), JournalError> {
+        let storage = FileStorage::new(folder)?;
+        let mut recovery = LogRecovery::new(bounds, initial, state);
+        let options = JournalOptions::default();
+        let (journal, tail) = Journal::open_into(Box::new(storage), options, &mut recovery)?;
+        log_discarded(tail.discarded_tail_bytes);
+        let recovered = recovery.finish().map_err(JournalError::Snapshot)?;
+        let RecoveredEntries { snapshot, is_new, entries } = recovered;
+        let mut writer = Self { journal };
+        if let Some(snapshot) = snapshot.as_ref().filter(|_| is_new) {
+            log::info!("event=journal_compacted index={}", snapshot.meta.index.0);
+            writer.save_snapshot(snapshot)?;
+        }
+        let hard_state = hard_state(tail.hard_state);
+        Ok((writer, RecoveredState { hard_state, snapshot, entries }))
+    }
+
     /// Writes and syncs one batch. After an error the writer must not be used again.
     pub fn write(&mut self, batch: &PersistBatch) -> Result<(), JournalError> {
         if let Some(from) = batch.truncate_from {
             self.journal.truncate_from(from.0)?;
         }
         if let Some(snapshot) = &batch.snapshot {
-            let index = snapshot.meta.index.0;
-            self.journal.save_snapshot(&SnapshotRecord { index, payload: snapshot.encode() })?;
-            self.journal.compact()?;
+            self.save_snapshot(snapshot)?;
+        }
+        for entry in &batch.entries {
+            self.journal.append(&[Record { index: entry.index.0, payload: entry.encode() }])?;
         }
-        let to_record = |entry: &LogEntry| Record { index: entry.index.0, payload: entry.encode() };
-        let records: Vec<_> = batch.entries.iter().map(to_record).collect();
-        self.journal.append(&records)?;
         if let Some(state) = batch.hard_state {
             let vote = state.vote.map(|host| host.0);
             self.journal.save_hard_state(gw_journal::HardState { term: state.term.0, vote })?;
@@ -65,17 +96,31 @@
         self.journal.sync()?;
         Ok(())
     }
+
+    fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), JournalError> {
+        let index = snapshot.meta.index.0;
+        self.journal.save_snapshot(&SnapshotRecord { index, payload: snapshot.encode() })?;
+        self.journal.compact()?;
+        Ok(())
+    }
 }
 
 fn decode(recovered: Recovered) -> Result<RecoveredState, JournalError> {
     let snapshot = recovered.snapshot.map(|snapshot| Snapshot::decode(&snapshot.payload));
     let entries = recovered.records.iter().map(|record| LogEntry::decode(&record.payload));
     Ok(RecoveredState {
-        hard_state: HardState {
-            term: Term(recovered.hard_state.term),
-            vote: recovered.hard_state.vote.map(HostId),
-        },
+        hard_state: hard_state(recovered.hard_state),
         snapshot: snapshot.transpose()?,
         entries: entries.collect::<Result<_, _>>()?,
     })
 }
+
+fn hard_state(stored: gw_journal::HardState) -> HardState {
+    HardState { term: Term(stored.term), vote: stored.vote.map(HostId) }
+}
+
+fn log_discarded(bytes: u64) {
+    if bytes > 0 {
+        log::warn!("event=journal_tail_cut bytes={bytes}");
+    }
+}
--- a/crates/gw-daemon/src/control/mod.rs
+++ b/crates/gw-daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod control_handle;
 mod control_thread;
 mod journal_writer;
+mod log_recovery;
 mod peer_transport;
 
 pub use control_handle::ControlError;
@@ -15,3 +16,6 @@
 pub use control_thread::start_control;
 pub use journal_writer::JournalError;
 pub use journal_writer::JournalWriter;
+pub use log_recovery::MAX_UNCOMMITTED_BYTES;
+pub use log_recovery::RecoveredLog;
+pub use log_recovery::RecoveryBounds;
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -28,6 +28,7 @@
 use crate::control::fleet_log::FleetLog;
 use crate::control::granter_set::GranterSet;
 use crate::control::peer_links::PeerLink;
+use crate::control::recovered_fleet::RecoveredFleet;
 use crate::control::replica_identity::JOURNAL_FOLDER;
 use crate::control::replica_identity::ReplicaIdentity;
 use crate::control::target_monitor::TargetMonitor;
@@ -35,8 +36,10 @@
 use crate::link::CallFailure;
 use crate::link::CallId;
 use crate::link::CallResult;
+use crate::link::FrameBudget;
 use crate::link::LinkHandle;
 use crate::link::LinkMessage;
+use crate::memory_bounds::MemoryBounds;
 use crate::ports::ProtocolAdapter;
 use crate::ports::TargetDialer;
 use crate::targets::TargetConnections;
@@ -44,9 +47,6 @@
 /// Longest time since the last message of a leader for a follower to count as in contact with the
 /// group.
 pub(crate) const CONTACT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Largest command, in bytes; fits a configuration with tens of thousands of routes and its
-/// document.
-const MAX_COMMAND_BYTES: usize = 16 * 1024 * 1024;
 /// Bounds for remembering requests that crash targets: `capacity` bounds memory, `hold` outlasts
 /// callers' retries.
 const QUARANTINE_OPTIONS: QuarantineOptions =
@@ -98,6 +98,10 @@
 /// State shared by the tasks of a control host, all of which run on one thread.
 pub(crate) struct ControlHost {
     pub(crate) settings: RefCell<GatewaySettings>,
+    /// Bounds of what the host keeps in memory, from the settings with which it was started.
+    pub(crate) bounds: MemoryBounds,
+    /// Bytes of the states and updates that wait for entry hosts.
+    pub(crate) shared_frames: FrameBudget,
     pub(crate) adapter: Rc<dyn ProtocolAdapter>,
     pub(crate) clock: BootClock,
     pub(crate) metrics: GatewayMetrics,
@@ -144,14 +148,17 @@
         control_address: SocketAddr,
     ) -> Rc<Self> {
         let clock = BootClock;
+        let bounds = MemoryBounds::of(settings.memory_bytes);
         Rc::new(Self {
+            bounds,
+            shared_frames: FrameBudget::new(bounds.shared_frames),
             adapter,
             metrics: GatewayMetrics::default(),
             control_address,
             connections: TargetConnections::new(dialer),
             identity: RefCell::default(),
             replica: RefCell::default(),
-            log: RefCell::default(),
+            log: RefCell::new(FleetLog::new(bounds.recent_commands)),
             links: RefCell::default(),
             monitor: RefCell::default(),
             heard_targets: RefCell::default(),
@@ -210,16 +217,27 @@
     pub(crate) fn start_replica(&self, identity: &ReplicaIdentity) -> Result<(), String> {
         let Some(id) = identity.id else { return Err("no replica id assigned yet".to_owned()) };
         let data = self.settings.borrow().data_dir.clone().ok_or("no data directory configured")?;
-        let opened = JournalWriter::open(&data.join(JOURNAL_FOLDER));
-        let (journal, recovered) = opened.map_err(|error| error.to_string())?;
         let members = Membership::of_voters(identity.first_members.iter().copied());
+        let mut state = RecoveredFleet::default();
+        let opened = JournalWriter::open_bounded(
+            &data.join(JOURNAL_FOLDER),
+            self.bounds.recovery,
+            members.clone(),
+            &mut state,
+        );
+        let (journal, recovered) = opened.map_err(|error| error.to_string())?;
+        drop(state);
         let options = ReplicaOptions {
-            max_batch_bytes: MAX_COMMAND_BYTES,
-            max_uncommitted_bytes: 2 * MAX_COMMAND_BYTES,
+            max_command_bytes: self.bounds.command,
+            max_batch_bytes: self.bounds.batch,
+            max_in_flight_bytes: self.bounds.in_flight,
+            max_uncommitted_bytes: self.bounds.uncommitted,
+            snapshot_chunk_bytes: self.bounds.snapshot_chunk,
+            retained_bytes: self.bounds.retained,
             ..ReplicaOptions::new(id, members, rand::random())
         };
         let node = ReplicaNode::new(options, recovered, self.now());
-        *self.log.borrow_mut() = FleetLog::default();
+        *self.log.borrow_mut() = FleetLog::new(self.bounds.recent_commands);
         let replica = Replica { node, journal, last_snapshot: 0, leads_since: None };
         *self.replica.borrow_mut() = Some(replica);
         log::info!("event=replica_started id={}", id.0);
@@ -235,13 +253,30 @@
         self.fail_pending(CallFailure::Unavailable);
     }
 
-    /// Sends newly applied commands to the entry hosts that stream from this host.
+    /// Sends newly applied commands to the entry hosts that stream from this host. Those whose
+    /// connection or whose frames have no room are tried again with the next call.
     pub(crate) fn push_updates(&self) {
-        let log = self.log.borrow();
+        let mut log = self.log.borrow_mut();
         for link in self.links.borrow_mut().iter_mut().filter(|link| link.is_streaming) {
             if link.sent_through < log.applied() {
-                link.link.send(&log.since(link.sent_through, link.link.version()));
-                link.sent_through = log.applied();
+                let frame =
+                    log.frame_since(link.sent_through, link.link.version(), &self.shared_frames);
+                if frame.is_some_and(|frame| link.link.send_frame(frame)) {
+                    link.sent_through = log.applied();
+                }
+            }
+        }
+    }
+
+    /// Tells the replica that what was on its way over a connection is lost.
+    pub(crate) fn record_lost_link(&self, lost: &PeerLink) {
+        let mut replica = self.replica.borrow_mut();
+        let Some(replica) = replica.as_mut() else { return };
+        let members: Vec<HostId> = replica.node.membership().members().collect();
+        for member in members {
+            let is_own = lost.is_outbound && self.peer_address(member) == Some(lost.peer);
+            if is_own || lost.replica == Some(member) {
+                replica.node.connection_lost(member);
             }
         }
     }
--- a/crates/gw-gateway/src/control/fleet_log.rs
+++ b/crates/gw-gateway/src/control/fleet_log.rs
@@ -7,24 +7,48 @@
 use gw_routing::ConfigPatch;
 use gw_routing::RoutingConfig;
 
+use crate::link::FrameBudget;
+use crate::link::LinkFrame;
 use crate::link::LinkMessage;
+use crate::link::encode;
 
 /// Number of recent commands kept to update entry hosts incrementally.
 const KEPT_COMMANDS: usize = 1024;
 
 /// The applied state and the most recent commands that led to it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct FleetLog {
     state: FleetState,
     applied: u64,
     /// Commands in the form sent to entry hosts, sorted by index: configurations as patches,
     /// without commands that had no effect on the configuration.
     recent: VecDeque<(u64, FleetCommand)>,
+    /// Encoded sizes of `recent`, in bytes, and their sum.
+    recent_sizes: VecDeque<usize>,
+    recent_bytes: usize,
+    max_recent_bytes: usize,
     /// Every command after this index is in `recent`.
     base: u64,
+    /// The frame that was encoded last, with the index after which it continues, the index that it
+    /// reaches and the version that it was encoded for. Most entry hosts need the same one.
+    encoded: Option<(u64, u64, FormatVersion, LinkFrame)>,
 }
 
 impl FleetLog {
+    /// Creates an empty log that keeps at most `max_recent_bytes` of encoded recent commands.
+    pub(crate) fn new(max_recent_bytes: usize) -> Self {
+        Self {
+            state: FleetState::default(),
+            applied: 0,
+            recent: VecDeque::new(),
+            recent_sizes: VecDeque::new(),
+            recent_bytes: 0,
+            max_recent_bytes,
+            base: 0,
+            encoded: None,
+        }
+    }
+
     /// Returns the applied state.
     pub(crate) fn state(&self) -> &FleetState {
         &self.state
@@ -41,6 +65,9 @@
         self.applied = index;
         self.base = index;
         self.recent.clear();
+        self.recent_sizes.clear();
+        self.recent_bytes = 0;
+        self.encoded = None;
     }
 
     /// Applies the entry at `index`; `command` is `None` for entries without a command.
@@ -54,19 +81,45 @@
         let before = self.state.config().cloned();
         let outcome = self.state.apply(command);
         if let Some(sent) = for_entry_hosts(command, before.as_deref(), outcome) {
+            let bytes = postcard::experimental::serialized_size(&sent).unwrap_or(usize::MAX);
             self.recent.push_back((index, sent));
+            self.recent_sizes.push_back(bytes);
+            self.recent_bytes = self.recent_bytes.saturating_add(bytes);
         }
-        if self.recent.len() > KEPT_COMMANDS
+        while (self.recent.len() > KEPT_COMMANDS || self.recent_bytes > self.max_recent_bytes)
             && let Some((dropped, _)) = self.recent.pop_front()
         {
             self.base = dropped;
+            self.recent_bytes -= self.recent_sizes.pop_front().unwrap_or_default();
         }
+        self.encoded = None;
         Some(outcome)
     }
 
+    /// Returns the encoded form of [`FleetLog::since`], whose bytes are taken from `budget` until
+    /// they are sent; `None` while it has no room.
+    pub(crate) fn frame_since(
+        &mut self,
+        after: u64,
+        version: FormatVersion,
+        budget: &FrameBudget,
+    ) -> Option<LinkFrame> {
+        if let Some((from, through, format, frame)) = &self.encoded
+            && (*from, *through, *format) == (after, self.applied, version)
+        {
+            return Some(frame.clone());
+        }
+        if !budget.has_room() {
+            return None;
+        }
+        let frame = encode(&self.since(after, version))?.charged(budget);
+        self.encoded = Some((after, self.applied, version, frame.clone()));
+        Some(frame)
+    }
+
     /// Returns the message that updates an entry host of version `version` from index `after`: the
     /// commands since that it can read, or the whole state if they are no longer kept.
-    pub(crate) fn since(&self, after: u64, version: FormatVersion) -> LinkMessage {
+    fn since(&self, after: u64, version: FormatVersion) -> LinkMessage {
         if after >= self.applied {
             return LinkMessage::Updates { after, through: after, commands: Vec::new() };
         }
--- a/crates/gw-gateway/src/control/mod.rs
+++ b/crates/gw-gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod group_membership;
 mod order_delivery;
 mod peer_links;
+mod recovered_fleet;
 mod replica_driver;
 mod replica_identity;
 mod run_control;
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -69,7 +69,8 @@
 
 impl PeerLinks {
     pub(crate) fn new(host: Rc<ControlHost>, events: mpsc::Sender<LinkEvent>) -> Self {
-        Self { host, dialed: DialedPeers::new(events) }
+        let dialed = DialedPeers::new(events, host.bounds);
+        Self { host, dialed }
     }
 
     /// Maintains connections to all known control hosts and closes all others.
@@ -116,7 +117,10 @@
                 });
             }
             LinkEvent::Closed { id } => {
-                self.host.links.borrow_mut().retain(|link| link.link.id != id);
+                let mut links = self.host.links.borrow_mut();
+                let closed = links.extract_if(.., |link| link.link.id == id).collect::<Vec<_>>();
+                drop(links);
+                closed.iter().for_each(|link| self.host.record_lost_link(link));
             }
             LinkEvent::Message { link, message } => self.handle_message(link, message),
         }
@@ -171,9 +175,10 @@
                 targets.iter().for_each(|target| monitor.record_contact(now, target));
             }
             LinkMessage::Fetch { after, stream } => {
-                let log = host.log.borrow();
-                link.send(&log.since(after, link.version()));
-                let sent_through = log.applied();
+                let mut log = host.log.borrow_mut();
+                let frame = log.frame_since(after, link.version(), &host.shared_frames);
+                let is_sent = frame.is_some_and(|frame| link.send_frame(frame));
+                let sent_through = if is_sent { log.applied() } else { after };
                 update_link(host, &link, |known| {
                     known.is_streaming = stream;
                     known.sent_through = sent_through;
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -4,6 +4,7 @@
 use gw_agreement::Envelope;
 use gw_agreement::LogEntry;
 use gw_agreement::Message;
+use gw_agreement::ReplicaNode;
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
 use gw_fleet::FleetState;
@@ -18,7 +19,8 @@
 use crate::link::CallResult;
 use crate::link::LinkMessage;
 
-/// Number of applied entries after which the log is compacted into a snapshot.
+/// Number of applied entries after which the log is compacted into a snapshot, if their size has not
+/// led to one before.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 256;
 
 impl ControlHost {
@@ -52,7 +54,7 @@
             if ready.is_empty() {
                 break;
             }
-            self.send_all(replica.node.id(), ready.messages);
+            self.send_all(&mut replica.node, ready.messages);
             if !ready.persist.is_empty() {
                 if let Err(error) = replica.journal.write(&ready.persist) {
                     drop(slot);
@@ -61,10 +63,13 @@
                 }
                 replica.node.persisted(self.now(), ready.token);
             }
-            self.send_all(replica.node.id(), ready.messages_after_sync);
+            self.send_all(&mut replica.node, ready.messages_after_sync);
             if let Some(snapshot) = ready.install {
                 match FleetState::restore(&snapshot.data) {
-                    Ok(state) => self.log.borrow_mut().install(snapshot.meta.index.0, state),
+                    Ok(state) => {
+                        replica.last_snapshot = snapshot.meta.index.0;
+                        self.log.borrow_mut().install(snapshot.meta.index.0, state);
+                    }
                     Err(error) => {
                         drop(slot);
                         self.stop_replica(&error.to_string());
@@ -82,10 +87,12 @@
         self.push_updates();
     }
 
-    fn send_all(&self, from: HostId, messages: Vec<Envelope>) {
+    fn send_all(&self, node: &mut ReplicaNode, messages: Vec<Envelope>) {
+        let from = node.id();
         for Envelope { to, message } in messages {
-            if let Some(link) = self.link_to(to) {
-                link.send(&LinkMessage::Agreement { from, to, message });
+            let message = LinkMessage::Agreement { from, to, message };
+            if !self.link_to(to).is_some_and(|link| link.send(&message)) {
+                node.connection_lost(to);
             }
         }
     }
@@ -150,7 +157,9 @@
 
     fn save_snapshot(&self, replica: &mut Replica) {
         let log = self.log.borrow();
-        if log.applied() < replica.last_snapshot + SNAPSHOT_INTERVAL_ENTRIES {
+        let is_due = log.applied() >= replica.last_snapshot + SNAPSHOT_INTERVAL_ENTRIES
+            || replica.node.bytes_since_snapshot() >= self.bounds.since_snapshot;
+        if !is_due || log.applied() == replica.last_snapshot {
             return;
         }
         match log.state().snapshot() {
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -55,7 +55,7 @@
     let host = ControlHost::new(settings, adapter, dialer, control_address);
     host.load_identity().map_err(|error| RunError::Data(error.to_string()))?;
     let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
-    spawn_local(accept_links(peers, events.clone()));
+    spawn_local(accept_links(peers, events.clone(), host.bounds));
     let shared = host.clone();
     spawn_local(serve_metrics(metrics, move || shared.metrics.text()));
     let shared = host.clone();
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -35,6 +35,7 @@
 use crate::link::RunReport;
 use crate::link::ServiceHeat;
 use crate::link::ShareReport;
+use crate::memory_bounds::MemoryBounds;
 use crate::targets::send_order;
 
 /// Interval between reports to control hosts.
@@ -93,9 +94,10 @@
     /// Runs until the process ends.
     pub(crate) async fn run(host: Rc<EntryHost>) {
         let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
+        let bounds = MemoryBounds::of(host.settings.borrow().memory_bytes);
         let mut links = Self {
             host,
-            dialed: DialedPeers::new(events),
+            dialed: DialedPeers::new(events, bounds),
             links: Vec::new(),
             group: ControlChoice::default(),
             is_cut_off: true,
--- a/crates/gw-gateway/src/link/dialed_peers.rs
+++ b/crates/gw-gateway/src/link/dialed_peers.rs
@@ -7,17 +7,20 @@
 
 use crate::link::LinkEvent;
 use crate::link::maintain_link;
+use crate::memory_bounds::MemoryBounds;
 
 /// Outgoing connections to other hosts, each maintained by a task that reconnects.
 pub(crate) struct DialedPeers {
     events: mpsc::Sender<LinkEvent>,
+    bounds: MemoryBounds,
     dialed: BTreeMap<SocketAddr, JoinHandle<()>>,
 }
 
 impl DialedPeers {
-    /// Creates an empty set. Events of the connections are sent to `events`.
-    pub(crate) fn new(events: mpsc::Sender<LinkEvent>) -> Self {
-        Self { events, dialed: BTreeMap::new() }
+    /// Creates an empty set. Events of the connections are sent to `events`; `bounds` limits the frames that wait
+    /// for each of them.
+    pub(crate) fn new(events: mpsc::Sender<LinkEvent>, bounds: MemoryBounds) -> Self {
+        Self { events, bounds, dialed: BTreeMap::new() }
     }
 
     /// Maintains connections to `wanted` and closes all others.
@@ -32,10 +35,10 @@
             is_wanted
         });
         for peer in wanted {
-            let events = &self.events;
+            let (events, bounds) = (&self.events, self.bounds);
             self.dialed
                 .entry(peer)
-                .or_insert_with(|| spawn_local(maintain_link(peer, events.clone())));
+                .or_insert_with(|| spawn_local(maintain_link(peer, events.clone(), bounds)));
         }
     }
 
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -247,4 +247,7 @@
     /// The complete state at `index`, in the form of [`FleetState::snapshot`]. In place of
     /// [`LinkMessage::Snapshot`] for hosts that support [`gw_fleet::FormatVersion::EVACUATIONS`].
     EncodedState { index: u64, state: Vec<u8> },
+    /// Part of the encoded form of another message, followed by parts of `left` bytes in total. Sent
+    /// only to hosts that support [`gw_fleet::FormatVersion::EVACUATIONS`].
+    Fragment { left: u32, bytes: Vec<u8> },
 }
--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -1,17 +1,15 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Buf;
-use bytes::BufMut;
-use bytes::Bytes;
-use bytes::BytesMut;
 use gw_daemon::BootClock;
 use gw_fleet::FormatVersion;
 use gw_types::Clock;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -19,23 +17,29 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crate::link::FrameQueue;
 use crate::link::LinkHandle;
 use crate::link::LinkMessage;
+use crate::link::frame_decoder::FrameDecoder;
+use crate::link::frame_decoder::ReceivedFrame;
+use crate::memory_bounds::MemoryBounds;
 use crate::targets::set_socket_options;
 
-/// Capacity of a connection's queue of outgoing frames.
-const FRAME_QUEUE_LEN: usize = 512;
-/// Largest frame, in bytes; fits a snapshot with a configuration of thousands of routes.
-const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
 /// Longest time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before reconnecting after a failure.
 const RECONNECT_DELAY: Duration = Duration::from_millis(150);
 /// Time without a message after which the connecting side sends a ping.
 const PING_INTERVAL: Duration = Duration::from_millis(400);
-/// Time without data after which a connection is closed. A connection whose peer stopped
+/// Time without a frame to send after which the connecting side sends a ping although it receives
+/// data. Shorter than the silence that the other side accepts.
+const MAX_SEND_INTERVAL: Duration = Duration::from_millis(800);
+/// Bytes that the operating system takes for a connection beyond those on their way. More would
+/// delay small frames behind fragments of a large one: 130 ms on a link of 2 Mbit/s.
+const MAX_UNSENT_BYTES: u32 = 32 * 1024;
+/// Time without progress after which a connection is closed. A connection whose peer stopped
 /// responding shows no error. A complete state takes longer than this on a slow link, so any part of
-/// a frame counts.
+/// a frame counts, received or taken by the other host.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 thread_local! {
@@ -63,33 +67,16 @@
     Closed { id: LinkId },
 }
 
-/// A message and what its frame says about the sender.
-struct ReceivedFrame {
-    message: LinkMessage,
-    /// The sender's version, if the message is its first one.
-    version: Option<FormatVersion>,
-}
-
-/// Encodes a message as a frame: its length in 4 bytes, little-endian, followed by the message in
-/// postcard. The first message of a connection is followed by the version of this build, which
-/// builds that state none ignore.
-pub(crate) fn encode_frame(message: &LinkMessage) -> Result<Bytes, postcard::Error> {
-    let mut body = postcard::to_stdvec(message)?;
-    if matches!(message, LinkMessage::Hello { .. }) {
-        body = postcard::to_extend(&FormatVersion::CURRENT, body)?;
-    }
-    let mut frame = BytesMut::with_capacity(4 + body.len());
-    frame.put_u32_le(body.len() as u32);
-    frame.extend_from_slice(&body);
-    Ok(frame.freeze())
-}
-
 /// Accepts connections of other hosts for as long as the process runs.
-pub(crate) async fn accept_links(listener: TcpListener, events: mpsc::Sender<LinkEvent>) {
+pub(crate) async fn accept_links(
+    listener: TcpListener,
+    events: mpsc::Sender<LinkEvent>,
+    bounds: MemoryBounds,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                spawn_local(run_link(stream, peer, false, events.clone()));
+                spawn_local(run_link(stream, peer, false, events.clone(), bounds));
             }
             Err(error) => {
                 log::warn!("event=accept_failed listener=peers cause=\"{error}\"");
@@ -100,13 +87,17 @@
 }
 
 /// Maintains a connection to `peer` until the task is aborted; reconnects when the connection ends.
-pub(crate) async fn maintain_link(peer: SocketAddr, events: mpsc::Sender<LinkEvent>) {
+pub(crate) async fn maintain_link(
+    peer: SocketAddr,
+    events: mpsc::Sender<LinkEvent>,
+    bounds: MemoryBounds,
+) {
     let mut is_lost = false;
     loop {
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await {
             Ok(Ok(stream)) => {
                 is_lost = false;
-                run_link(stream, peer, true, events.clone()).await;
+                run_link(stream, peer, true, events.clone(), bounds).await;
             }
             failed => {
                 if !is_lost {
@@ -125,21 +116,26 @@
     peer: SocketAddr,
     is_outbound: bool,
     events: mpsc::Sender<LinkEvent>,
+    bounds: MemoryBounds,
 ) {
     if let Err(error) = set_socket_options(&stream) {
         log::warn!("event=socket_option_failed peer={peer} cause=\"{error}\"");
     }
-    let (frames, queue) = mpsc::channel(FRAME_QUEUE_LEN);
-    let link = LinkHandle::new(LinkId::next(), BootClock.now(), frames);
-    let id = link.id;
+    if let Err(error) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::warn!("event=socket_option_failed peer={peer} cause=\"{error}\"");
+    }
+    let link = LinkHandle::new(LinkId::next(), BootClock.now(), bounds);
+    let (id, frames) = (link.id, link.frames.clone());
     let opened = LinkEvent::Opened { link: link.clone(), peer, is_outbound };
     if events.send(opened).await.is_err() {
         return;
     }
     let (reader, writer) = stream.into_split();
-    let writing = spawn_local(write_frames(writer, queue));
-    let end = read_frames(reader, link, is_outbound, &events).await;
+    let last_progress = Rc::new(Cell::new(Instant::now()));
+    let writing = spawn_local(write_frames(writer, frames.clone(), last_progress.clone()));
+    let end = read_frames(reader, link, is_outbound, &events, last_progress).await;
     writing.abort();
+    frames.close();
     let cause = end.map_or_else(|error| error.to_string(), |()| "closed".to_owned());
     log::info!("event=link_closed peer={peer} cause=\"{cause}\"");
     // The receiver is gone only when the process ends.
@@ -147,14 +143,23 @@
 }
 
 async fn write_frames(
-    mut writer: tokio::net::tcp::OwnedWriteHalf,
-    mut queue: mpsc::Receiver<Bytes>,
+    writer: tokio::net::tcp::OwnedWriteHalf,
+    frames: Rc<FrameQueue>,
+    last_progress: Rc<Cell<Instant>>,
 ) {
-    while let Some(mut frame) = queue.recv().await {
-        while frame.has_remaining() {
-            // The reading side detects a broken connection as well and reports it.
-            match timeout(SILENCE_TIMEOUT, writer.write_buf(&mut frame)).await {
-                Ok(Ok(sent)) if sent > 0 => {}
+    loop {
+        let mut bytes = frames.next().await;
+        while bytes.has_remaining() {
+            match writer.try_write(&bytes) {
+                Ok(sent) if sent > 0 => bytes.advance(sent),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    // The reading side detects a broken connection as well and reports it.
+                    let Ok(Ok(())) = timeout(SILENCE_TIMEOUT, writer.writable()).await else {
+                        return;
+                    };
+                    // The buffer was full and has room again: the other host has received data.
+                    last_progress.set(Instant::now());
+                }
                 _ => return,
             }
         }
@@ -166,13 +171,14 @@
     link: LinkHandle,
     is_outbound: bool,
     events: &mpsc::Sender<LinkEvent>,
+    last_progress: Rc<Cell<Instant>>,
 ) -> io::Result<()> {
-    let mut buffer = BytesMut::with_capacity(4 * 1024);
-    let mut last_byte = Instant::now();
+    let mut decoder = FrameDecoder::new();
     loop {
-        while let Some(ReceivedFrame { message, version }) = decode_frame(&mut buffer)? {
+        while let Some(ReceivedFrame { message, version }) = decoder.next()? {
             if let Some(version) = version {
                 link.version.set(version);
+                link.frames.set_takes_fragments(link.supports(FormatVersion::EVACUATIONS));
             }
             match message {
                 LinkMessage::Ping => {
@@ -187,41 +193,22 @@
                 }
             }
         }
-        if last_byte.elapsed() > SILENCE_TIMEOUT {
-            return Err(io::Error::new(io::ErrorKind::TimedOut, "silent"));
+        let received = timeout(PING_INTERVAL, reader.read_buf(&mut decoder.buffer)).await;
+        let is_idle = link.frames.last_push().elapsed() >= MAX_SEND_INTERVAL;
+        if is_outbound && (received.is_err() || is_idle) {
+            link.send(&LinkMessage::Ping);
         }
-        match timeout(PING_INTERVAL, reader.read_buf(&mut buffer)).await {
+        match received {
             Ok(Ok(0)) => return Ok(()),
             Ok(Ok(_)) => {
-                last_byte = Instant::now();
+                last_progress.set(Instant::now());
                 link.last_byte.set(BootClock.now());
             }
             Ok(Err(error)) => return Err(error),
-            Err(_) if is_outbound => {
-                link.send(&LinkMessage::Ping);
+            Err(_) if last_progress.get().elapsed() > SILENCE_TIMEOUT => {
+                return Err(io::Error::new(io::ErrorKind::TimedOut, "silent"));
             }
             Err(_) => {}
         }
     }
 }
-
-fn decode_frame(buffer: &mut BytesMut) -> io::Result<Option<ReceivedFrame>> {
-    let Some(prefix) = buffer.first_chunk::<4>() else { return Ok(None) };
-    let len = u32::from_le_bytes(*prefix) as usize;
-    if len > MAX_FRAME_BYTES {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too large"));
-    }
-    if buffer.len() < 4 + len {
-        buffer.reserve(4 + len - buffer.len());
-        return Ok(None);
-    }
-    let frame = buffer.split_to(4 + len);
-    let invalid = |error| io::Error::new(io::ErrorKind::InvalidData, error);
-    let (message, rest) = postcard::take_from_bytes(&frame[4..]).map_err(invalid)?;
-    let is_first = matches!(message, LinkMessage::Hello { .. });
-    let version = match is_first && !rest.is_empty() {
-        true => Some(postcard::from_bytes(rest).map_err(invalid)?),
-        false => None,
-    };
-    Ok(Some(ReceivedFrame { message, version }))
-}
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -1,12 +1,20 @@
 //! Connections between hosts, which carry length-prefixed postcard frames over TCP.
 
 mod dialed_peers;
+mod frame_budget;
+mod frame_decoder;
+mod frame_queue;
+mod link_frame;
 mod link_handle;
 mod link_message;
 mod link_task;
 
 pub(crate) use dialed_peers::DialedPeers;
+pub(crate) use frame_budget::FrameBudget;
+pub(crate) use frame_queue::FrameQueue;
+pub(crate) use link_frame::LinkFrame;
 pub(crate) use link_handle::LinkHandle;
+pub(crate) use link_handle::encode;
 pub(crate) use link_message::CallFailure;
 pub(crate) use link_message::CallId;
 pub(crate) use link_message::CallResult;
--- a/crates/gw-journal/src/error.rs
+++ b/crates/gw-journal/src/error.rs
@@ -38,6 +38,14 @@
         /// The index of the next record, or for a truncation the lowest permitted index.
         expected: u64,
     },
+    /// The receiver of the recovered records has refused one.
+    #[error("cannot take the record with index {index}: {reason}")]
+    Refused {
+        /// Index of the record.
+        index: u64,
+        /// Why it was refused.
+        reason: String,
+    },
     /// A record or snapshot is too large for its length field.
     #[error("payload of {len} bytes is too large")]
     TooLarge {
--- a/crates/gw-journal/src/frame.rs
+++ b/crates/gw-journal/src/frame.rs
@@ -50,10 +50,22 @@
         out.push(kind);
         out.extend_from_slice(&index.to_le_bytes());
         out.extend_from_slice(payload);
-        let sum = checksum(file, offset, &out[start + HEADER_LEN..]);
+        let sum = checksum(file, offset, &[&out[start + HEADER_LEN..]]);
         out[start + 8..start + HEADER_LEN].copy_from_slice(&sum.to_le_bytes());
     }
 
+    /// Encodes what precedes `payload` in the frame of a snapshot, which is written to file number
+    /// `file` at offset 0. A large payload is written from where it is, without a copy.
+    pub(crate) fn snapshot_prefix(index: u64, payload: &[u8], file: u64) -> Vec<u8> {
+        let mut prefix = Vec::with_capacity(HEADER_LEN + BODY_PREFIX_LEN);
+        Frame::Snapshot { index, payload: &[] }.encode(file, 0, &mut prefix);
+        let body_len = (BODY_PREFIX_LEN + payload.len()) as u32;
+        let sum = checksum(file, 0, &[&prefix[HEADER_LEN..], payload]);
+        prefix[4..8].copy_from_slice(&body_len.to_le_bytes());
+        prefix[8..HEADER_LEN].copy_from_slice(&sum.to_le_bytes());
+        prefix
+    }
+
     /// Decodes the frame at `offset` of `bytes` and returns it with the offset of its end.
     pub(crate) fn decode(
         bytes: &'a [u8],
@@ -68,7 +80,7 @@
         let body_len = read_u32(&header[4..8]) as usize;
         let end = HEADER_LEN.saturating_add(body_len);
         let body = rest.get(HEADER_LEN..end).ok_or("incomplete record")?;
-        if checksum(file, offset as u64, body) != read_u32(&header[8..12]) {
+        if checksum(file, offset as u64, &[body]) != read_u32(&header[8..12]) {
             return Err("checksum does not match");
         }
         Ok((Self::decode_body(body)?, offset + end))
@@ -99,11 +111,11 @@
     }
 }
 
-fn checksum(file: u64, offset: u64, body: &[u8]) -> u32 {
+fn checksum(file: u64, offset: u64, body: &[&[u8]]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(&file.to_le_bytes());
     hasher.update(&offset.to_le_bytes());
-    hasher.update(body);
+    body.iter().for_each(|part| hasher.update(part));
     hasher.finalize()
 }
 
--- a/crates/gw-journal/src/journal.rs
+++ b/crates/gw-journal/src/journal.rs
@@ -1,11 +1,14 @@
 use crate::Error;
 use crate::HardState;
 use crate::Record;
+use crate::RecordSink;
 use crate::Recovered;
+use crate::RecoveredTail;
 use crate::SnapshotRecord;
 use crate::Storage;
 use crate::frame::Frame;
 use crate::frame::MAX_PAYLOAD_LEN;
+use crate::record_sink::RecordList;
 use crate::recovery;
 use crate::segment_list::Segment;
 use crate::segment_list::SegmentList;
@@ -17,6 +20,9 @@
 /// File number in the checksum of snapshot frames. Segments are numbered from 1.
 pub(crate) const SNAPSHOT_FILE_NUMBER: u64 = 0;
 
+/// Capacity of the buffer for frames that is kept after a write, in bytes; fits most writes.
+const MAX_KEPT_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Settings of a [`Journal`].
 #[derive(Clone, Debug)]
 pub struct JournalOptions {
@@ -62,7 +68,21 @@
         storage: Box<dyn Storage>,
         options: JournalOptions,
     ) -> Result<(Self, Recovered), Error> {
-        recovery::open(storage, options)
+        let mut list = RecordList::default();
+        let (journal, tail) = Self::open_into(storage, options, &mut list)?;
+        let RecordList { snapshot, records } = list;
+        let RecoveredTail { hard_state, discarded_tail_bytes } = tail;
+        Ok((journal, Recovered { hard_state, snapshot, records, discarded_tail_bytes }))
+    }
+
+    /// Like [`Journal::open`], but passes the snapshot and the records to `sink`. Only one segment is
+    /// in memory at a time.
+    pub fn open_into(
+        storage: Box<dyn Storage>,
+        options: JournalOptions,
+        sink: &mut dyn RecordSink,
+    ) -> Result<(Self, RecoveredTail), Error> {
+        recovery::open(storage, options, sink)
     }
 
     pub(crate) fn from_recovered(
@@ -70,17 +90,16 @@
         options: JournalOptions,
         segments: SegmentList,
         written: u64,
-        recovered: &Recovered,
+        hard_state: HardState,
+        (snapshot_index, last_index): (u64, u64),
     ) -> Self {
-        let snapshot_index = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
-        let last_index = recovered.records.last().map_or(snapshot_index, |record| record.index);
         Self {
             storage,
             options,
             segments,
             written,
             pending: Vec::new(),
-            hard_state: recovered.hard_state,
+            hard_state,
             last_index,
             snapshot_index,
             failed: false,
@@ -193,9 +212,10 @@
             return Ok(self);
         }
         let name = segment_name(self.segments.current());
-        append_synced(&mut *self.storage, &name, &self.pending)?;
+        append_synced(&mut *self.storage, &name, &[&self.pending])?;
         self.written += self.pending.len() as u64;
         self.pending.clear();
+        self.pending.shrink_to(MAX_KEPT_BUFFER_BYTES);
         Ok(self)
     }
 
@@ -210,10 +230,9 @@
     }
 
     fn write_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<(), Error> {
-        let mut bytes = Vec::new();
-        let frame = Frame::Snapshot { index: snapshot.index, payload: &snapshot.payload };
-        frame.encode(SNAPSHOT_FILE_NUMBER, 0, &mut bytes);
-        replace_file(&mut *self.storage, &snapshot_name(snapshot.index), &bytes)
+        let (index, payload) = (snapshot.index, &snapshot.payload[..]);
+        let prefix = Frame::snapshot_prefix(index, payload, SNAPSHOT_FILE_NUMBER);
+        replace_file(&mut *self.storage, &snapshot_name(index), &[&prefix, payload])
     }
 
     fn remove_old_snapshots(&mut self) -> Result<(), Error> {
@@ -241,8 +260,10 @@
     if len > MAX_PAYLOAD_LEN { Err(Error::TooLarge { len }) } else { Ok(()) }
 }
 
-fn append_synced(storage: &mut dyn Storage, name: &str, bytes: &[u8]) -> Result<(), Error> {
-    storage.append(name, bytes).map_err(|e| Error::storage("write", name, e))?;
+fn append_synced(storage: &mut dyn Storage, name: &str, parts: &[&[u8]]) -> Result<(), Error> {
+    for part in parts {
+        storage.append(name, part).map_err(|e| Error::storage("write", name, e))?;
+    }
     storage.sync(name).map_err(|e| Error::storage("sync", name, e))
 }
 
@@ -254,10 +275,10 @@
 pub(crate) fn replace_file(
     storage: &mut dyn Storage,
     name: &str,
-    bytes: &[u8],
+    parts: &[&[u8]],
 ) -> Result<(), Error> {
     let temporary = temporary_name(name);
-    append_synced(storage, &temporary, bytes)?;
+    append_synced(storage, &temporary, parts)?;
     storage.rename(&temporary, name).map_err(|e| Error::storage("rename", &temporary, e))?;
     sync_folder(storage)
 }
@@ -270,7 +291,7 @@
 ) -> Result<u64, Error> {
     let mut bytes = Vec::new();
     Frame::HardState(hard_state).encode(number, 0, &mut bytes);
-    append_synced(storage, &segment_name(number), &bytes)?;
+    append_synced(storage, &segment_name(number), &[&bytes])?;
     sync_folder(storage)?;
     Ok(bytes.len() as u64)
 }
--- a/crates/gw-journal/src/record.rs
+++ b/crates/gw-journal/src/record.rs
@@ -25,6 +25,15 @@
     pub payload: Vec<u8>,
 }
 
+/// Content of a journal when it was opened, without its snapshot and records.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RecoveredTail {
+    /// The last synced term and vote.
+    pub hard_state: HardState,
+    /// Length of the incomplete or corrupt tail that was discarded, in bytes.
+    pub discarded_tail_bytes: u64,
+}
+
 /// Content of a journal when it was opened.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Recovered {
--- a/crates/gw-journal/src/recovery.rs
+++ b/crates/gw-journal/src/recovery.rs
@@ -4,8 +4,8 @@
 use crate::HardState;
 use crate::Journal;
 use crate::JournalOptions;
-use crate::Record;
-use crate::Recovered;
+use crate::RecordSink;
+use crate::RecoveredTail;
 use crate::SnapshotRecord;
 use crate::Storage;
 use crate::frame::Frame;
@@ -24,20 +24,24 @@
 pub(crate) fn open(
     mut storage: Box<dyn Storage>,
     options: JournalOptions,
-) -> Result<(Journal, Recovered), Error> {
+    sink: &mut dyn RecordSink,
+) -> Result<(Journal, RecoveredTail), Error> {
     lock_folder(&mut *storage)?;
     let names = remove_temporary(&mut *storage)?;
     let snapshot = read_snapshot(&mut *storage, &names)?;
-    let numbers = segment_numbers(&names, snapshot.is_some())?;
-    let mut reader = SegmentReader::new(snapshot);
+    let snapshot_index = snapshot.as_ref().map(|snapshot| snapshot.index);
+    let numbers = segment_numbers(&names, snapshot_index.is_some())?;
+    snapshot.map_or(Ok(()), |snapshot| sink.set_snapshot(snapshot))?;
+    let mut reader = SegmentReader::new(snapshot_index, sink);
     for &number in &numbers {
         reader.read_segment(&mut *storage, number, numbers.last() == Some(&number))?;
     }
-    reader.drop_covered_records()?;
     let written = prepare_last_segment(&mut *storage, &mut reader)?;
-    let recovered = reader.recovered;
-    let journal = Journal::from_recovered(storage, options, reader.segments, written, &recovered);
-    Ok((journal, recovered))
+    let (tail, indexes) = (reader.tail, (reader.snapshot_index(), reader.last_index()));
+    let segments = reader.segments;
+    let journal =
+        Journal::from_recovered(storage, options, segments, written, tail.hard_state, indexes);
+    Ok((journal, tail))
 }
 
 fn lock_folder(storage: &mut dyn Storage) -> Result<(), Error> {
@@ -104,19 +108,19 @@
 /// hold its content in memory without writing it to disk on the next sync.
 fn prepare_last_segment(
     storage: &mut dyn Storage,
-    reader: &mut SegmentReader,
+    reader: &mut SegmentReader<'_>,
 ) -> Result<u64, Error> {
     let bytes = std::mem::take(&mut reader.last_bytes);
     let number = reader.segments.current().max(1);
     if reader.segments.segments.is_empty() {
         reader.segments.segments.push(Segment { number, max_index: 0 });
-        return create_segment(storage, number, reader.recovered.hard_state);
+        return create_segment(storage, number, reader.tail.hard_state);
     }
     let bytes = match bytes.is_empty() {
-        true => encode_hard_state(number, reader.recovered.hard_state),
+        true => encode_hard_state(number, reader.tail.hard_state),
         false => bytes,
     };
-    replace_file(storage, &segment_name(number), &bytes)?;
+    replace_file(storage, &segment_name(number), &[&bytes])?;
     Ok(bytes.len() as u64)
 }
 
@@ -127,27 +131,36 @@
 }
 
 /// Recovers the records, term and vote from segments, which are read oldest first.
-struct SegmentReader {
-    recovered: Recovered,
+struct SegmentReader<'a> {
+    sink: &'a mut dyn RecordSink,
+    tail: RecoveredTail,
+    snapshot_index: Option<u64>,
     segments: SegmentList,
     /// Valid prefix of the last segment.
     last_bytes: Vec<u8>,
-    /// File name and offset of the first of `recovered.records`.
-    first_record_position: (String, usize),
+    /// Indexes of the first and the last record read so far, covered by the snapshot or not, without
+    /// those that were removed.
+    indexes: Option<(u64, u64)>,
 }
 
-impl SegmentReader {
-    fn new(snapshot: Option<SnapshotRecord>) -> Self {
+impl<'a> SegmentReader<'a> {
+    fn new(snapshot_index: Option<u64>, sink: &'a mut dyn RecordSink) -> Self {
         Self {
-            recovered: Recovered { snapshot, ..Recovered::default() },
+            sink,
+            tail: RecoveredTail::default(),
+            snapshot_index,
             segments: SegmentList::default(),
             last_bytes: Vec::new(),
-            first_record_position: Default::default(),
+            indexes: None,
         }
     }
 
     fn snapshot_index(&self) -> u64 {
-        self.recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)
+        self.snapshot_index.unwrap_or_default()
+    }
+
+    fn last_index(&self) -> u64 {
+        self.indexes.map_or(0, |(_, last)| last).max(self.snapshot_index())
     }
 
     fn read_segment(
@@ -162,7 +175,7 @@
         let valid_len = self.read_frames(&name, &bytes, number)?;
         if valid_len < bytes.len() || bytes.is_empty() {
             self.check_discarded_tail(&name, &bytes, valid_len, is_last)?;
-            self.recovered.discarded_tail_bytes = (bytes.len() - valid_len) as u64;
+            self.tail.discarded_tail_bytes = (bytes.len() - valid_len) as u64;
             bytes.truncate(valid_len);
         }
         if is_last {
@@ -199,7 +212,7 @@
         // The start of a segment is synced before older segments are removed or a snapshot is
         // saved, so it is never an unsynced tail then.
         let is_first = self.segments.segments.len() == 1;
-        let may_be_new = self.segments.current() == 1 && self.recovered.snapshot.is_none();
+        let may_be_new = self.segments.current() == 1 && self.snapshot_index.is_none();
         if valid_len == 0 && is_first && !may_be_new {
             return Err(corrupt_error(name, valid_len, reason));
         }
@@ -208,8 +221,8 @@
 
     fn apply_frame(&mut self, frame: Frame<'_>, name: &str, offset: usize) -> Result<(), Error> {
         match frame {
-            Frame::HardState(hard_state) => self.recovered.hard_state = hard_state,
-            Frame::Truncate { from } => self.recovered.records.retain(|r| r.index < from),
+            Frame::HardState(hard_state) => self.tail.hard_state = hard_state,
+            Frame::Truncate { from } => self.truncate_from(from),
             Frame::Entry { index, payload } => self.add_record(index, payload, name, offset)?,
             Frame::Snapshot { .. } => {
                 return Err(corrupt_error(name, offset, "snapshot frame in a segment"));
@@ -226,32 +239,29 @@
         offset: usize,
     ) -> Result<(), Error> {
         self.segments.update_max_index(index);
-        if let Some(last) = self.recovered.records.last()
-            && index != last.index + 1
+        if let Some((_, last)) = self.indexes
+            && index != last + 1
         {
             // The index of a snapshot received from the leader may be beyond the last record.
-            if index <= last.index || index > self.snapshot_index() + 1 {
+            if index <= last || index > self.snapshot_index() + 1 {
                 return Err(corrupt_error(name, offset, "record does not follow its predecessor"));
             }
-            self.recovered.records.clear();
+            self.truncate_from(0);
+        }
+        let first = self.indexes.map_or(index, |(first, _)| first);
+        if first > self.snapshot_index() + 1 {
+            return Err(corrupt_error(name, offset, "records before this one are missing"));
         }
-        if self.recovered.records.is_empty() {
-            self.first_record_position = (name.to_owned(), offset);
+        self.indexes = Some((first, index));
+        if index > self.snapshot_index() {
+            self.sink.push(index, payload)?;
         }
-        self.recovered.records.push(Record { index, payload: payload.to_vec() });
         Ok(())
     }
 
-    /// Drops the records that the snapshot covers. The first of the others must directly follow it.
-    fn drop_covered_records(&mut self) -> Result<(), Error> {
-        let snapshot_index = self.snapshot_index();
-        self.recovered.records.retain(|record| record.index > snapshot_index);
-        match self.recovered.records.first() {
-            Some(record) if record.index != snapshot_index + 1 => {
-                let (name, offset) = &self.first_record_position;
-                Err(corrupt_error(name, *offset, "records before this one are missing"))
-            }
-            _ => Ok(()),
-        }
+    fn truncate_from(&mut self, index: u64) {
+        let remaining = self.indexes.filter(|(first, _)| *first < index);
+        self.indexes = remaining.map(|(first, last)| (first, last.min(index.saturating_sub(1))));
+        self.sink.truncate_from(index.max(self.snapshot_index() + 1));
     }
 }
