--- a/crates/gw-gateway/src/memory_bounds.rs
+++ b/crates/gw-gateway/src/memory_bounds.rs
@@ -47,9 +47,12 @@
     /// Largest command in any case, so that its frame is accepted by hosts of all builds.
     const MAX_COMMAND: usize = 16 * 1024 * 1024;
 
+    /// Least memory that the bounds are shares of. With less, a process does not run.
+    const MIN_MEMORY: usize = 16 * 1024 * 1024;
+
     /// Returns the bounds of a process that may use `memory_bytes`.
     pub(crate) fn of(memory_bytes: u64) -> Self {
-        let memory = usize::try_from(memory_bytes).unwrap_or(usize::MAX);
+        let memory = usize::try_from(memory_bytes).unwrap_or(usize::MAX).max(Self::MIN_MEMORY);
         Self {
             command: (memory / 16).min(Self::MAX_COMMAND),
             uncommitted: (memory / 16).min(MAX_UNCOMMITTED_BYTES),
