--- a/crates/gw-gateway/tests/link/earlier_frames.rs
+++ b/crates/gw-gateway/tests/link/earlier_frames.rs
@@ -103,17 +103,15 @@
     let (mut errors, mut others) = (0, 0);
     for frame in parts(FRAMES) {
         for_each_damage(&frame[4..], |body| {
-            let mut bytes = BytesMut::with_capacity(4 + body.len());
-            bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
-            bytes.extend_from_slice(body);
-            match decode_frame(&mut bytes) {
+            let len = (body.len() as u32).to_le_bytes();
+            match decode_frame(&[&len[..], body].concat()) {
                 Ok(_) => others += 1,
                 Err(_) => errors += 1,
             }
         });
         // Damaged lengths leave the frame incomplete or are refused.
         for_each_damage(&frame[..4], |prefix| {
-            decode_frame(&mut BytesMut::from(&[prefix, &frame[4..]].concat()[..])).ok();
+            decode_frame(&[prefix, &frame[4..]].concat()).ok();
         });
     }
     assert!(errors > 1_000 && others > 1_000, "{errors} errors, {others} messages");
--- a/crates/gw-gateway/tests/link/earlier_values.rs
+++ b/crates/gw-gateway/tests/link/earlier_values.rs
@@ -194,7 +194,10 @@
 /// Log entries as in journals and in messages.
 pub(crate) fn entries() -> Vec<LogEntry> {
     let bytes = |command| postcard::to_stdvec(command).expect("bytes");
-    let commands = commands().iter().map(bytes).map(EntryPayload::Command).collect::<Vec<_>>();
+    let commands = commands()
+        .iter()
+        .map(|command| EntryPayload::Command(bytes(command).into()))
+        .collect::<Vec<_>>();
     let members = Membership::of_voters([HostId(1), HostId(3)]);
     let others = [EntryPayload::Noop, EntryPayload::Membership(members)];
     let payloads = others.into_iter().chain(commands);
