fix(gw-dispatch, gw-gateway): requests outlast the move of their key

Cause: when keys of many targets move, requests reach the new holder before its grant and are answered 421. Change: a target that does not hold the key has not executed the request and is not one of the attempts; the request is sent again up to three times, after 40, 80 and 160 ms, within the retry budget.

--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use gw_dispatch::CrashVerdict;
+use gw_dispatch::MisdirectionRetry;
 use gw_pipeline::ParseError;
 use gw_pipeline::ParserLimits;
 use gw_routing::RepeatRule;
@@ -59,8 +60,6 @@
 };
 /// Bytes that a relayed request's head may have beyond the limit for callers.
 const RELAY_HEAD_BYTES: usize = 1024;
-/// Wait for a newer state after a target reported that it does not hold the key.
-const MISDIRECTED_DELAY: Duration = Duration::from_millis(40);
 
 /// Handles the requests of callers, or of other entry hosts, on an entry host.
 pub(crate) struct RequestHandler {
@@ -188,6 +187,9 @@
     };
     let mut tried: Vec<TargetName> = Vec::new();
     let (mut reached, mut unsent) = (0, 0);
+    // Attempts that count towards the route's limit: targets that did not hold the key do not.
+    let mut counted = 0;
+    let mut misdirections = MisdirectionRetry::default();
     let mut may_relay = !is_relayed;
     let mut was_refused = false;
     // Whether a connection to the last target could not be established.
@@ -217,7 +219,7 @@
                 let refusal = LocalReply::not_executed("retry_budget", REFUSAL_RETRY_AFTER);
                 return refuse(host, request, last.unwrap_or(refusal));
             }
-            let attempts = request.rule.max_attempts.max(1).saturating_sub(reached).max(1);
+            let attempts = request.rule.max_attempts.max(1).saturating_sub(counted).max(1);
             if let Some(ended) = send_through_relay(host, request, attempts, &mut slot, last).await
             {
                 return ended;
@@ -253,6 +255,7 @@
             }
             ForwardOutcome::NotExecuted { reason, reached: was_reached, .. } => {
                 reached += u32::from(was_reached);
+                counted += u32::from(was_reached && !misdirected);
                 was_refused |= was_reached;
                 unsent += u32::from(!was_reached);
                 is_unreachable = reason == TARGET_UNREACHABLE;
@@ -267,21 +270,24 @@
             }
             ForwardOutcome::Unknown { status, reason, .. } => {
                 reached += 1;
+                counted += 1;
                 last = Some(LocalReply::outcome_unknown(status, reason));
                 if request.rule.repeat == RepeatRule::AtMostOnce {
                     return refuse(host, request, LocalReply::outcome_unknown(status, reason));
                 }
             }
         }
-        let is_exhausted = reached >= request.rule.max_attempts.max(1)
+        let repeat_after = misdirected.then(|| misdirections.record());
+        let is_exhausted = counted >= request.rule.max_attempts.max(1)
+            || repeat_after == Some(None)
             || unsent >= MAX_UNSENT_ATTEMPTS
             || (is_relayed && is_unreachable && params.key.is_some())
             || Instant::now() >= params.deadline;
         if let Some(last) = last.filter(|_| is_exhausted) {
             return refuse(host, request, last);
         }
-        if misdirected {
-            tokio::time::sleep(MISDIRECTED_DELAY).await;
+        if let Some(Some(wait)) = repeat_after {
+            tokio::time::sleep(wait).await;
         }
         if params.key.is_none() && !may_try_again {
             tried.push(target);
