feat(gw-dispatch, gw-gateway): second attempts for slow requests, and a file of options

Cause: a few slow responses determine the operators' tail latency, and nothing shortened it: a request waited for the target that it was sent to until its deadline. Change: gw_dispatch::HedgePlanner decides without I/O when a request has run longer than nearly all responses of its service, whether a second attempt can still end within the objective, and whether the operator's share allows it. Entry hosts start it at a target chosen as for any attempt, use the first response and close the connection of the other attempt; a failed attempt does not end a running one. It counts against the retry budget and max-attempts. Only requests that may be repeated, without a key, from callers and with an id qualify. The default share is 0, which creates no planner. Result: gw-dispatch hedging (three tables), gw-gateway options and platform hedging (two process tests) pass. The process test found that a missing quantile was cached for 250 ms.

--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -148,6 +148,20 @@
     }
 }
 
+/// Returns a permit for a further attempt of a request without a key if a target has capacity now that
+/// no queued request of the service waits for.
+pub(crate) fn admit_now(
+    host: &Rc<EntryHost>,
+    params: &AdmissionParams,
+    tried: &[TargetName],
+) -> Option<SendPermit> {
+    if host.queue.borrow().count_ahead(&params.service, u8::MAX) > 0 {
+        return None;
+    }
+    let (holder, address) = select_target(host, host.now(), &params.service, params.key, tried)?;
+    Some(SendPermit::new(host, holder, address))
+}
+
 /// Whether a queued request that takes precedence needs the same key range, or, without a key, the
 /// same service.
 fn has_queued_ahead(host: &EntryHost, params: &AdmissionParams) -> bool {
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -15,6 +15,7 @@
 use gw_balance::TargetPool;
 use gw_daemon::BootClock;
 use gw_dispatch::CrashQuarantine;
+use gw_dispatch::HedgePlanner;
 use gw_dispatch::QuarantineOptions;
 use gw_dispatch::RequestFingerprint;
 use gw_dispatch::RetryBudget;
@@ -34,6 +35,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::GatewayOptions;
 use crate::GatewaySettings;
 use crate::entry::admission::AdmissionParams;
 use crate::entry::admission::SendPermit;
@@ -112,6 +114,8 @@
     pub(crate) closing: watch::Sender<bool>,
     /// When the process ends, once the host has been told to stop.
     pub(crate) stops_at: Cell<Option<Instant>>,
+    /// Second attempts for slow requests; `None` while they are turned off.
+    pub(crate) hedging: RefCell<Option<HedgePlanner>>,
     retry_budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     split_cursors: RefCell<BTreeMap<Arc<str>, WeightedRoundRobin>>,
     next_number: Cell<u64>,
@@ -157,6 +161,7 @@
             is_stopping: Cell::new(false),
             closing: watch::Sender::new(false),
             stops_at: Cell::new(None),
+            hedging: RefCell::default(),
             retry_budgets: RefCell::default(),
             split_cursors: RefCell::default(),
             next_number: Cell::new(0),
@@ -171,6 +176,16 @@
         self.next_number.replace(self.next_number.get() + 1)
     }
 
+    /// Puts options in force.
+    pub(crate) fn set_options(&self, options: GatewayOptions) {
+        let share = options.hedging.max_share;
+        let mut hedging = self.hedging.borrow_mut();
+        match &mut *hedging {
+            Some(planner) if share > 0.0 => planner.set_max_share(share),
+            _ => *hedging = (share > 0.0).then(|| HedgePlanner::new(share)),
+        }
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn config(&self) -> Option<Arc<RoutingConfig>> {
         self.state().config().cloned()
@@ -366,6 +381,9 @@
                 self.move_started.borrow_mut().insert(key, since);
             }
         }
+        if let Some(planner) = &mut *self.hedging.borrow_mut() {
+            planner.retain(|service| services.iter().any(|spec| spec.name == *service));
+        }
         drop(state);
         self.admission_wakeup.notify_one();
     }
--- a/crates/gw-gateway/src/entry/mod.rs
+++ b/crates/gw-gateway/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod control_links;
 mod entry_host;
 mod forwarded_stream;
+mod hedged_attempt;
 mod local_reply;
 mod path_probe;
 mod read_request;
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -20,6 +20,8 @@
 use crate::entry::admission::admit;
 use crate::entry::admission::max_wait;
 use crate::entry::entry_host::EntryHost;
+use crate::entry::hedged_attempt::hedged_attempt;
+use crate::entry::hedged_attempt::may_hedge;
 use crate::entry::local_reply::LocalReply;
 use crate::entry::read_request::ReadRequest;
 use crate::entry::read_request::RequestOrigin;
@@ -229,8 +231,31 @@
             let refusal = LocalReply::not_executed("retry_budget", REFUSAL_RETRY_AFTER);
             return refuse(host, request, last.unwrap_or(refusal));
         }
-        let target = permit.holder.target.clone();
-        let outcome = attempt(host, request, permit, was_refused, &mut slot).await;
+        let mut target = permit.holder.target.clone();
+        let outcome = if reached == 0 && may_hedge(host, request) {
+            let (last_target, outcome, failed) =
+                // Two attempts at once need more memory than one, which other requests do not pay for.
+                Box::pin(hedged_attempt(host, request, permit, &tried, &mut slot)).await;
+            if let Some(failed) = failed {
+                match failed.outcome {
+                    ForwardOutcome::Response(_) => {}
+                    ForwardOutcome::NotExecuted { reason, reached: was_reached, .. } => {
+                        reached += u32::from(was_reached);
+                        was_refused |= was_reached;
+                        last = Some(LocalReply::not_executed(reason, REFUSAL_RETRY_AFTER));
+                    }
+                    ForwardOutcome::Unknown { status, reason, .. } => {
+                        reached += 1;
+                        last = Some(LocalReply::outcome_unknown(status, reason));
+                    }
+                }
+                tried.push(failed.target);
+            }
+            target = last_target;
+            outcome
+        } else {
+            attempt(host, request, permit, was_refused, &mut slot).await
+        };
         let misdirected = matches!(outcome, ForwardOutcome::NotExecuted { misdirected: true, .. });
         let may_try_again =
             matches!(outcome, ForwardOutcome::Unknown { is_connection_fault: true, .. });
--- a/crates/gw-gateway/src/entry/run_entry.rs
+++ b/crates/gw-gateway/src/entry/run_entry.rs
@@ -11,6 +11,7 @@
 use tokio::task::spawn_local;
 
 use crate::GatewaySettings;
+use crate::OptionsFile;
 use crate::RunError;
 use crate::callers::serve_callers;
 use crate::entry::admission::run_admission;
@@ -21,6 +22,7 @@
 use crate::entry::request_handler::RequestHandler;
 use crate::http_server::ConnectionCount;
 use crate::http_server::serve;
+use crate::options_file::watch_options;
 use crate::ports::ProtocolAdapter;
 use crate::ports::SettingsSource;
 use crate::ports::TargetDialer;
@@ -42,7 +44,7 @@
     settings: GatewaySettings,
     adapter: Rc<dyn ProtocolAdapter>,
     dialer: Rc<dyn TargetDialer>,
-    source: Rc<dyn SettingsSource>,
+    (source, options): (Rc<dyn SettingsSource>, OptionsFile),
     callers: SocketAddr,
 ) -> Result<(), RunError> {
     let callers = bind("callers", callers).await?;
@@ -67,6 +69,8 @@
     spawn_local(watch_settings(source, move |settings| {
         *shared.settings.borrow_mut() = settings;
     }));
+    let shared = host.clone();
+    spawn_local(watch_options(options, move |options| shared.set_options(options)));
     let count = ConnectionCount::default();
     for (listener, origin) in [(callers, RequestOrigin::Caller), (relays, RequestOrigin::EntryHost)]
     {
--- a/crates/gw-gateway/src/gateway_metrics.rs
+++ b/crates/gw-gateway/src/gateway_metrics.rs
@@ -33,6 +33,7 @@
     requests: Family<EndLabels, Counter>,
     latency: Family<ServiceLabels, Histogram>,
     orders: Family<EndLabels, Counter>,
+    second_attempts: Family<EndLabels, Counter>,
     pub(crate) pipelined_requests: Counter,
     pub(crate) streamed_bytes: Counter,
     pub(crate) broken_responses: Counter,
@@ -52,6 +53,7 @@
             requests: Family::default(),
             latency: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS)),
             orders: Family::default(),
+            second_attempts: Family::default(),
             pipelined_requests: Counter::default(),
             streamed_bytes: Counter::default(),
             broken_responses: Counter::default(),
@@ -75,6 +77,8 @@
         let help = "Time from reading a request's head to its answer, in seconds";
         registry.register("request_seconds", help, self.latency.clone());
         registry.register("orders", "Orders about key ranges by end", self.orders.clone());
+        let help = "Second attempts for slow requests: sent, won, lost, cancelled or denied";
+        registry.register("second_attempts", help, self.second_attempts.clone());
         let help = "Requests that were read before an earlier one of their connection was answered";
         registry.register("pipelined_requests", help, self.pipelined_requests.clone());
         let help = "Bytes of responses that were forwarded as they arrived";
@@ -103,6 +107,12 @@
         self.latency.get_or_create(&labels).observe(elapsed.as_secs_f64());
     }
 
+    /// Records an event of a second attempt for a slow request.
+    pub(crate) fn count_second_attempt(&self, service: &str, end: &str) {
+        let labels = EndLabels { service: service.to_owned(), end: end.to_owned() };
+        self.second_attempts.get_or_create(&labels).inc();
+    }
+
     /// Records the outcome of an order to a target.
     pub(crate) fn count_order(&self, service: &str, end: &str) {
         let labels = EndLabels { service: service.to_owned(), end: end.to_owned() };
--- a/crates/gw-gateway/src/process.rs
+++ b/crates/gw-gateway/src/process.rs
@@ -12,6 +12,7 @@
 use tokio::task::LocalSet;
 
 use crate::GatewaySettings;
+use crate::OptionsFile;
 use crate::control::run_control;
 use crate::entry::run_entry;
 use crate::http_server::ConnectionCount;
@@ -45,12 +46,14 @@
 }
 
 /// Runs an entry host or a control host, depending on which listener the settings contain, until it
-/// is told to stop and has shut down. Connections to targets are opened by `dialer`.
+/// is told to stop and has shut down. Connections to targets are opened by `dialer`. Entry hosts
+/// load `options` at the start and each time their file changes.
 pub fn run(
     settings: GatewaySettings,
     adapter: Rc<dyn ProtocolAdapter>,
     dialer: Rc<dyn TargetDialer>,
     source: Rc<dyn SettingsSource>,
+    options: OptionsFile,
 ) -> Result<(), RunError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     log::info!(
@@ -63,7 +66,9 @@
     let tasks = LocalSet::new();
     tasks.block_on(&runtime, async move {
         match (settings.caller_address, settings.control_address) {
-            (Some(callers), _) => run_entry(settings, adapter, dialer, source, callers).await,
+            (Some(callers), _) => {
+                run_entry(settings, adapter, dialer, (source, options), callers).await
+            }
             (None, Some(calls)) => run_control(settings, adapter, dialer, source, calls).await,
             (None, None) => Err(RunError::NoListener),
         }
