--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -4,9 +4,11 @@
 use gw_agreement::Envelope;
 use gw_agreement::LogEntry;
 use gw_agreement::Message;
+use gw_agreement::ReplicaNode;
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
 use gw_fleet::FleetState;
+use gw_fleet::ZoneEvacuation;
 use gw_types::HostId;
 
 use crate::control::control_host::ControlHost;
@@ -17,8 +19,10 @@
 use crate::link::CallFailure;
 use crate::link::CallResult;
 use crate::link::LinkMessage;
+use crate::wall_clock::unix_millis;
 
-/// Number of applied entries after which the log is compacted into a snapshot.
+/// Number of applied entries after which the log is compacted into a snapshot, if their size has not
+/// led to one before.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 256;
 
 impl ControlHost {
@@ -52,7 +56,7 @@
             if ready.is_empty() {
                 break;
             }
-            self.send_all(replica.node.id(), ready.messages);
+            self.send_all(&mut replica.node, ready.messages);
             if !ready.persist.is_empty() {
                 if let Err(error) = replica.journal.write(&ready.persist) {
                     drop(slot);
@@ -61,10 +65,13 @@
                 }
                 replica.node.persisted(self.now(), ready.token);
             }
-            self.send_all(replica.node.id(), ready.messages_after_sync);
+            self.send_all(&mut replica.node, ready.messages_after_sync);
             if let Some(snapshot) = ready.install {
                 match FleetState::restore(&snapshot.data) {
-                    Ok(state) => self.log.borrow_mut().install(snapshot.meta.index.0, state),
+                    Ok(state) => {
+                        replica.last_snapshot = snapshot.meta.index.0;
+                        self.log.borrow_mut().install(snapshot.meta.index.0, state);
+                    }
                     Err(error) => {
                         drop(slot);
                         self.stop_replica(&error.to_string());
@@ -82,10 +89,12 @@
         self.push_updates();
     }
 
-    fn send_all(&self, from: HostId, messages: Vec<Envelope>) {
+    fn send_all(&self, node: &mut ReplicaNode, messages: Vec<Envelope>) {
+        let from = node.id();
         for Envelope { to, message } in messages {
-            if let Some(link) = self.link_to(to) {
-                link.send(&LinkMessage::Agreement { from, to, message });
+            let message = LinkMessage::Agreement { from, to, message };
+            if !self.link_to(to).is_some_and(|link| link.send(&message)) {
+                node.connection_lost(to);
             }
         }
     }
@@ -161,7 +170,9 @@
 
     fn save_snapshot(&self, replica: &mut Replica) {
         let log = self.log.borrow();
-        if log.applied() < replica.last_snapshot + SNAPSHOT_INTERVAL_ENTRIES {
+        let is_due = log.applied() >= replica.last_snapshot + SNAPSHOT_INTERVAL_ENTRIES
+            || replica.node.bytes_since_snapshot() >= self.bounds.since_snapshot;
+        if !is_due || log.applied() == replica.last_snapshot {
             return;
         }
         match log.state().snapshot() {
@@ -214,7 +225,8 @@
         links.iter().all(|link| link.hello.is_none() || link.link.supports(command.format()))
     }
 
-    /// Appends a command to the log as leader. The outcome goes to `reply_to` once it is committed.
+    /// Appends a command to the log as leader, an evacuation with the present time. The outcome goes
+    /// to `reply_to` once it is committed.
     pub(crate) fn propose_as_leader(&self, command: &FleetCommand, reply_to: ReplySink) {
         if !self.is_readable_by_all(command) {
             log::warn!("event=proposal_refused cause=\"a host of an earlier build is connected\"");
@@ -222,6 +234,15 @@
             return;
         }
         let now = self.now();
+        let stamped;
+        let command = match command {
+            FleetCommand::StartEvacuation(ZoneEvacuation { zone, .. }) => {
+                let (zone, since_unix_ms) = (zone.clone(), unix_millis());
+                stamped = FleetCommand::StartEvacuation(ZoneEvacuation { zone, since_unix_ms });
+                &stamped
+            }
+            command => command,
+        };
         let proposed = {
             let mut slot = self.replica.borrow_mut();
             let replica = slot.as_mut().filter(|replica| replica.node.is_leader());
@@ -311,8 +332,9 @@
             log::info!("event=ranges_changed index={index} outcome={outcome:?} change={change:?}");
         }
         FleetCommand::StartEvacuation(evacuation) => log::info!(
-            "event=evacuation_started index={index} zone={} outcome={outcome:?}",
+            "event=evacuation_started index={index} zone={} since_unix_ms={} outcome={outcome:?}",
             evacuation.zone,
+            evacuation.since_unix_ms,
         ),
         FleetCommand::EndEvacuation { zone } => {
             log::info!("event=evacuation_ended index={index} zone={zone} outcome={outcome:?}");
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -55,7 +55,7 @@
     let host = ControlHost::new(settings, adapter, dialer, control_address);
     host.load_identity().map_err(|error| RunError::Data(error.to_string()))?;
     let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
-    spawn_local(accept_links(peers, events.clone()));
+    spawn_local(accept_links(peers, events.clone(), host.bounds));
     let shared = host.clone();
     spawn_local(serve_metrics(metrics, move || shared.metrics.text()));
     let shared = host.clone();
@@ -146,6 +146,7 @@
     let log = host.log.borrow();
     host.metrics.state_index.set(log.applied() as i64);
     host.metrics.config_version.set(log.state().config_version().0 as i64);
+    host.metrics.evacuated_zones.set(log.state().evacuations().len() as i64);
 }
 
 /// Starts the replica if it is not running: at process start, after a disk failure, and after its
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -20,6 +20,9 @@
 /// Longest queue wait, as a multiple of the time left until the latency objective. A late response
 /// still has a part of its value to the caller; the deadline bounds the wait as well.
 const OBJECTIVE_WAIT_FACTOR: f64 = 1.5;
+/// Longest queue wait of a request that is past its objective, as a multiple of the time left until
+/// its deadline.
+const LATE_WAIT_SHARE: f64 = 0.25;
 /// Longest wait while a key range moves to another holder. Most moves take a few milliseconds more
 /// than the longest request that is running on the old holder.
 const MAX_MOVE_WAIT: Duration = Duration::from_millis(250);
@@ -30,6 +33,8 @@
 const MAX_LIMIT_WAIT: Duration = Duration::from_millis(500);
 /// `Retry-After` when the key has no usable holder: about the duration of a move.
 pub(crate) const MOVE_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Reason of a refusal because all targets for the request are in evacuated zones.
+pub(crate) const ZONE_EVACUATED: &str = "zone_evacuated";
 /// Shortest `Retry-After` of a request refused under load.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest `Retry-After` of a request refused under load.
@@ -144,7 +149,8 @@
     host.metrics.waiting.set(host.queue.borrow().len() as i64);
     match admitted {
         Ok(Ok(permit)) => Ok(permit),
-        _ => Err(LocalReply::not_executed("waited_too_long", retry_after)),
+        _ => Err(evacuation_refusal(host, params)
+            .unwrap_or_else(|| LocalReply::not_executed("waited_too_long", retry_after))),
     }
 }
 
@@ -162,6 +168,37 @@
     Some(SendPermit::new(host, holder, address))
 }
 
+/// Returns the refusal of a request that no target may get because zones are evacuated; `None` if one
+/// may.
+pub(crate) fn evacuation_refusal(host: &EntryHost, params: &AdmissionParams) -> Option<LocalReply> {
+    if !is_evacuated(host, host.now(), &params.service, params.key) {
+        return None;
+    }
+    let retry_after = match host.pool.borrow().has_targets(&params.service) {
+        true => MOVE_RETRY_AFTER,
+        false => MAX_RETRY_AFTER,
+    };
+    Some(LocalReply::not_executed(ZONE_EVACUATED, retry_after))
+}
+
+/// Whether no target may get a request because zones are evacuated. A key that moves will have another
+/// holder.
+fn is_evacuated(host: &EntryHost, now: Timestamp, service: &ServiceName, key: Option<u16>) -> bool {
+    if !host.has_evacuations() {
+        return false;
+    }
+    let pool = host.pool.borrow();
+    let Some(key) = key else { return pool.is_evacuated(service) };
+    let state = host.state();
+    let assignment = state.table(service).map(|table| table.find(key));
+    let Some(assignment) = assignment.filter(|assignment| assignment.successor.is_none()) else {
+        return false;
+    };
+    let availability =
+        assignment.holder.as_ref().map(|holder| pool.holder_availability(now, holder));
+    availability == Some(HolderAvailability::Evacuated)
+}
+
 /// Whether a queued request that takes precedence needs the same key range, or, without a key, the
 /// same service.
 fn has_queued_ahead(host: &EntryHost, params: &AdmissionParams) -> bool {
@@ -212,7 +249,8 @@
     let until = |at: Instant| at.saturating_duration_since(Instant::now());
     let before_deadline =
         until(params.deadline).saturating_sub(Duration::from_secs_f64(response_time * 1.2));
-    until(params.objective).mul_f64(OBJECTIVE_WAIT_FACTOR).min(before_deadline)
+    let useful = until(params.objective).mul_f64(OBJECTIVE_WAIT_FACTOR);
+    useful.max(until(params.deadline).mul_f64(LATE_WAIT_SHARE)).min(before_deadline)
 }
 
 /// Estimates from the queue, response times and pending moves when a target will have capacity for
@@ -305,7 +343,13 @@
         let now = host.now();
         // Services without keys for which no target has capacity.
         let mut full: Vec<ServiceName> = Vec::new();
+        // Requests that no target may get any more.
+        let mut evacuated: Vec<u64> = Vec::new();
         let admitted = host.queue.borrow_mut().take_admitted(|request| {
+            if is_evacuated(&host, now, &request.service, request.key) {
+                evacuated.push(request.number);
+                return None;
+            }
             if request.key.is_none() && full.contains(&request.service) {
                 return None;
             }
@@ -315,6 +359,10 @@
             }
             found.map(|(holder, address)| SendPermit::new(&host, holder, address))
         });
+        for number in evacuated {
+            // Ends the wait of the request, which is then refused.
+            host.waiters.borrow_mut().remove(&number);
+        }
         for (number, permit) in admitted {
             let sender = host.waiters.borrow_mut().remove(&number);
             if let Some(sender) = sender {
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -36,6 +36,7 @@
 use crate::link::RunReport;
 use crate::link::ServiceHeat;
 use crate::link::ShareReport;
+use crate::memory_bounds::MemoryBounds;
 use crate::targets::send_order;
 
 /// Interval between reports to control hosts.
@@ -94,9 +95,10 @@
     /// Runs until the process ends.
     pub(crate) async fn run(host: Rc<EntryHost>) {
         let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
+        let bounds = MemoryBounds::of(host.settings.borrow().memory_bytes);
         let mut links = Self {
             host,
-            dialed: DialedPeers::new(events),
+            dialed: DialedPeers::new(events, bounds),
             links: Vec::new(),
             group: ControlChoice::default(),
             is_cut_off: true,
@@ -227,6 +229,9 @@
         let knows_zone = head.is_leader || link.zone.as_ref() == Some(&own_zone);
         if head.is_current {
             self.host.last_contact.set(self.host.now());
+            if self.host.learned.borrow().contains(head.index) {
+                self.host.current_at.set(Some(self.host.now()));
+            }
         }
         if head.is_leader {
             let host_count = usize::try_from(head.host_count).unwrap_or(usize::MAX);
@@ -356,6 +361,7 @@
         }
         self.select_stream();
         self.check_progress();
+        self.host.log_stopped_zones();
         self.report();
         if self.host.now().since(self.shares_received_at) > MAX_SHARES_AGE {
             self.host.throttle.borrow_mut().update(Vec::new(), 0.0);
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gw_balance::EvacuatedZones;
 use gw_balance::HolderThrottle;
 use gw_balance::HostCount;
+use gw_balance::LearningTime;
 use gw_balance::LimitTable;
 use gw_balance::PreferredTargets;
 use gw_balance::RequestQueue;
@@ -46,6 +48,7 @@
 use crate::ports::ProtocolAdapter;
 use crate::ports::TargetDialer;
 use crate::targets::TargetConnections;
+use crate::wall_clock::unix_millis;
 
 /// Shortest time between two updates of the target pool.
 const POOL_UPDATE_INTERVAL: Duration = Duration::from_millis(30);
@@ -73,6 +76,11 @@
     /// When a control host in contact with a majority was last heard.
     pub(crate) last_contact: Cell<Timestamp>,
     pub(crate) pool: RefCell<TargetPool>,
+    /// When the state last contained everything that a control host in contact with a majority had
+    /// announced.
+    pub(crate) current_at: Cell<Option<Timestamp>>,
+    /// The evacuated zones of the state.
+    evacuated: RefCell<EvacuatedZones>,
     /// When the pool was last brought up to date.
     pool_updated_at: Cell<Instant>,
     /// Whether targets have changed since.
@@ -106,6 +114,10 @@
     preferred_targets: RefCell<PreferredTargets>,
     /// Number of entry hosts in all zones, as reported by control hosts.
     pub(crate) host_count: Cell<usize>,
+    /// When this process started.
+    pub(crate) started_at: Instant,
+    /// Notified when the replicated state has changed.
+    pub(crate) state_changed: Notify,
     /// Notified when a change may let a queued request start.
     pub(crate) admission_wakeup: Notify,
     /// Whether the host is shutting down: it reports itself as not ready and closes connections
@@ -138,6 +150,8 @@
             has_caught_up: Cell::new(false),
             last_contact: Cell::new(Timestamp::ZERO),
             pool: RefCell::new(pool),
+            current_at: Cell::new(None),
+            evacuated: RefCell::default(),
             pool_updated_at: Cell::new(Instant::now()),
             is_pool_stale: Cell::new(false),
             queue: RefCell::default(),
@@ -157,6 +171,8 @@
             request_counts: RefCell::default(),
             preferred_targets: RefCell::default(),
             host_count: Cell::new(1),
+            started_at: Instant::now(),
+            state_changed: Notify::new(),
             admission_wakeup: Notify::new(),
             is_stopping: Cell::new(false),
             closing: watch::Sender::new(false),
@@ -348,7 +364,10 @@
         self.pool_updated_at.set(now);
         let state = self.state();
         let preferred = self.preferred_targets.borrow();
-        self.pool.borrow_mut().update(self.now(), state.targets(), &preferred);
+        let mut pool = self.pool.borrow_mut();
+        pool.update(self.now(), state.targets(), &preferred);
+        pool.set_evacuated(&self.evacuated.borrow());
+        drop(pool);
         self.apply_limits();
     }
 
@@ -365,6 +384,7 @@
     /// queued requests.
     fn refresh_from_state(&self) {
         self.update_pool();
+        self.update_evacuations();
         let now = self.now();
         let state = self.state();
         self.metrics.config_version.set(state.config_version().0 as i64);
@@ -385,9 +405,60 @@
             planner.retain(|service| services.iter().any(|spec| spec.name == *service));
         }
         drop(state);
+        self.state_changed.notify_waiters();
         self.admission_wakeup.notify_one();
     }
 
+    /// Waits until this host has a configuration, at most until `end`.
+    pub(crate) async fn wait_for_config(&self, end: Instant) {
+        let is_configured = async {
+            loop {
+                let changed = self.state_changed.notified();
+                if self.config().is_some() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        // Without a configuration by then, the request is refused.
+        tokio::time::timeout_at(end, is_configured).await.ok();
+    }
+
+    /// Takes over the evacuations of the state.
+    fn update_evacuations(&self) {
+        let learning = LearningTime {
+            now: self.now(),
+            current_at: self.current_at.get(),
+            unix_ms: unix_millis(),
+            evacuation_time: self.settings.borrow().evacuation_time,
+        };
+        let mut zones = self.evacuated.borrow_mut();
+        let changes = zones.update(self.state().evacuations(), &learning);
+        for (zone, stops_at) in &changes.started {
+            let millis = stops_at.since(learning.now).as_millis();
+            log::info!("event=evacuation_known zone={zone} stops_in_ms={millis}");
+        }
+        for zone in &changes.ended {
+            log::info!("event=evacuation_withdrawn zone={zone}");
+        }
+        if !changes.started.is_empty() || !changes.ended.is_empty() {
+            self.pool.borrow_mut().set_evacuated(&zones);
+        }
+        self.metrics.evacuated_zones.set(zones.len() as i64);
+    }
+
+    /// Whether any zone is evacuated.
+    pub(crate) fn has_evacuations(&self) -> bool {
+        !self.evacuated.borrow().is_empty()
+    }
+
+    /// Logs the zones to which this host has stopped sending since the last call.
+    pub(crate) fn log_stopped_zones(&self) {
+        for zone in self.evacuated.borrow_mut().take_stopped(self.now()) {
+            log::info!("event=evacuation_in_effect zone={zone}");
+        }
+    }
+
     /// Selects the service for the next request of a route, by the weights of its shares.
     pub(crate) fn choose_service(&self, host: &str, rule: &RouteRule) -> Option<ServiceName> {
         if let [share] = &rule.shares[..] {
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -23,6 +23,7 @@
 
 use crate::callers::ResponseBody;
 use crate::entry::admission::SendPermit;
+use crate::entry::admission::ZONE_EVACUATED;
 use crate::entry::entry_host::EntryHost;
 use crate::entry::forwarded_stream::ForwardedStream;
 use crate::entry::read_request::ReadRequest;
@@ -103,11 +104,15 @@
     };
     let connection = ConnectionUse::Shared { max_idle };
     let options = ExchangeOptions { deadline: until, connection, max_whole_bytes };
+    // The zone may become evacuated while a connection is opened.
+    let is_keyed = request.params.key.is_some();
+    let is_closed = || host.pool.borrow().is_closed(host.now(), &holder, is_keyed);
     let is_repeatable = request.rule.repeat != RepeatRule::AtMostOnce;
     let was_sent = Cell::new(false);
     let may_send = || {
-        was_sent.set(true);
-        true
+        let may_send = !is_closed();
+        was_sent.set(may_send);
+        may_send
     };
     let end = tokio::select! {
         biased;
@@ -172,6 +177,14 @@
         }
         ExchangeOutcome::NotSent(cause) => {
             log_failure(request, &permit, "not_sent", &cause);
+            if is_closed() {
+                permit.finish(AttemptOutcome::Cancelled);
+                return ForwardOutcome::NotExecuted {
+                    reason: ZONE_EVACUATED,
+                    reached: false,
+                    misdirected: false,
+                };
+            }
             // While the path is lost, a failure says nothing about the target.
             let is_path_lost = host.connections.path().is_lost();
             permit.finish(match is_path_lost {
--- a/crates/gw-gateway/src/lib.rs
+++ b/crates/gw-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod http_server;
 mod link;
 mod log_output;
+mod memory_bounds;
 mod options;
 mod options_file;
 pub mod ports;
@@ -24,6 +25,7 @@
 mod settings;
 mod settings_watch;
 mod targets;
+mod wall_clock;
 
 pub use log_output::LogError;
 pub use log_output::flush_log;
