fix(gw-ranges): idle ranges that leave a zone are spread over targets

Cause: the plan gives a range to the least loaded target; ranges without requests add no load, so that all of them went to the same one. Change: while ranges are split, each counts for a hundredth of the average load. Result: a new test, with and without requests elsewhere, and the tests of gw-ranges pass.

--- a/crates/gw-ranges/src/range_plan.rs
+++ b/crates/gw-ranges/src/range_plan.rs
@@ -31,6 +31,10 @@
 /// a serving holder. Each part costs one call per renewal.
 const MIN_PART_RATIO: f64 = 0.25;
 
+/// Load that a range without requests counts for, as a fraction of the average, when ranges are split
+/// over targets. Otherwise all idle ranges of a zone would go to the target with the least load.
+const RANGE_LOAD_RATIO: f64 = 0.01;
+
 struct TargetLoad<'a> {
     candidate: &'a RangeCandidate,
     /// Decayed number of requests for the keys that the target holds or is about to receive,
@@ -128,8 +132,12 @@
     let mut remainder = Some(assignment.range);
     while let Some(range) = remainder {
         // Without requests, the loads do not tell targets apart.
+        let rank = |load: &TargetLoad<'_>| {
+            (load.load + average * RANGE_LOAD_RATIO * load.ranges as f64, load.ranges)
+        };
         let by_load = |a: &&mut TargetLoad<'_>, b: &&mut TargetLoad<'_>| {
-            a.load.total_cmp(&b.load).then(a.ranges.cmp(&b.ranges))
+            let (a, b) = (rank(a), rank(b));
+            a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))
         };
         let least_loaded = loads.iter_mut().min_by(by_load);
         let Some(target) = least_loaded else { return };
--- a/crates/gw-ranges/tests/evacuation.rs
+++ b/crates/gw-ranges/tests/evacuation.rs
@@ -324,6 +324,27 @@
     }
 }
 
+/// Guards against idle ranges of a zone that all go to one target: it would be overloaded once their
+/// keys are asked for.
+#[test]
+fn idle_ranges_are_spread_over_targets() {
+    for requests in [0, 500] {
+        let evacuated = candidates(&[("a", 20, HolderStatus::Evacuated)]);
+        let (table, _) = busy_table(&evacuated, 10);
+        let mut counts = DecayedCounts::new(START);
+        counts.add(0, requests);
+        let others = candidates(&[("b", 20, HolderStatus::Serving)]);
+        let all = [evacuated, others].concat();
+        let moves = plan_moves(&table, &all, &counts, |_| true);
+        assert_eq!(moves.len(), 40);
+        let received = |candidate: &RangeCandidate| {
+            moves.iter().filter(|transfer| transfer.to == candidate.holder).count()
+        };
+        let most = all.iter().map(received).max();
+        assert!(most <= Some(4), "{requests} requests: {most:?} ranges at one target");
+    }
+}
+
 struct PaceCase {
     name: &'static str,
     /// Ranges of each of 100 targets in the evacuated zone.
