--- a/crates/gw-agreement/src/log_entry.rs
+++ b/crates/gw-agreement/src/log_entry.rs
@@ -30,7 +30,7 @@
     Noop,
     /// A command of the application, opaque to this crate. Shared by the copies of the entry in the
     /// log, in messages and in batches to write.
-    Command(Arc<[u8]>),
+    Command(#[serde(with = "gw_types::raw_bytes")] Arc<[u8]>),
     /// The group's membership from this entry on.
     Membership(Membership),
 }
@@ -38,7 +38,8 @@
 impl LogEntry {
     /// Encodes the entry as the payload of a journal record.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        let bytes = Vec::with_capacity(self.size_bytes());
+        postcard::to_extend(self, bytes).unwrap_or_default()
     }
 
     /// Decodes the payload of a journal record.
--- a/crates/gw-agreement/src/message.rs
+++ b/crates/gw-agreement/src/message.rs
@@ -102,6 +102,7 @@
         /// Length of the snapshot's data, in bytes.
         total_bytes: u64,
         /// Content of the chunk, at most `ReplicaOptions::snapshot_chunk_bytes` long.
+        #[serde(with = "gw_types::raw_bytes")]
         bytes: Vec<u8>,
         /// Send time on the leader's clock. Echoed in the response.
         sent_at: Timestamp,
--- a/crates/gw-agreement/src/snapshot.rs
+++ b/crates/gw-agreement/src/snapshot.rs
@@ -25,13 +25,17 @@
     /// Position in the log and membership.
     pub meta: SnapshotMeta,
     /// Encoded applied state, opaque to this crate.
+    #[serde(with = "gw_types::raw_bytes")]
     pub data: Arc<[u8]>,
 }
 
 impl Snapshot {
     /// Encodes the snapshot as the payload of a journal snapshot.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        /// Size of the position and the membership of a large group.
+        const META_BYTES: usize = 256;
+        let bytes = Vec::with_capacity(self.data.len() + META_BYTES);
+        postcard::to_extend(self, bytes).unwrap_or_default()
     }
 
     /// Decodes the payload of a journal snapshot.
--- a/crates/gw-fleet/src/stored_config.rs
+++ b/crates/gw-fleet/src/stored_config.rs
@@ -10,6 +10,7 @@
     /// Parsed configuration.
     pub routing: Arc<RoutingConfig>,
     /// Document as sent by operators, returned to them unchanged. Empty on entry hosts.
+    #[serde(with = "gw_types::raw_bytes")]
     pub document: Arc<[u8]>,
 }
 
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -246,8 +246,16 @@
     Leaving { id: HostId },
     /// The complete state at `index`, in the form of [`FleetState::snapshot`]. In place of
     /// [`LinkMessage::Snapshot`] for hosts that support [`gw_fleet::FormatVersion::EVACUATIONS`].
-    EncodedState { index: u64, state: Vec<u8> },
+    EncodedState {
+        index: u64,
+        #[serde(with = "gw_types::raw_bytes")]
+        state: Vec<u8>,
+    },
     /// Part of the encoded form of another message, followed by parts of `left` bytes in total. Sent
     /// only to hosts that support [`gw_fleet::FormatVersion::EVACUATIONS`].
-    Fragment { left: u32, bytes: Vec<u8> },
+    Fragment {
+        left: u32,
+        #[serde(with = "gw_types::raw_bytes")]
+        bytes: Vec<u8>,
+    },
 }
--- a/crates/gw-types/src/lib.rs
+++ b/crates/gw-types/src/lib.rs
@@ -13,6 +13,7 @@
 mod key_hash;
 mod key_source;
 mod names;
+pub mod raw_bytes;
 mod route_match;
 mod routing_table;
 mod service_definition;
