feat(gw-balance, gw-pipeline): budget of memory as pure decisions; bodies in segments

Cause: a body grew by doubling and was copied from the read buffer; nothing decided who may hold memory. Change: MemoryBudget decides about demands, stalled senders and readers, and connections. RequestParser reads bodies straight into segments of 64 KB. The bytes of plain chunk sizes no longer count towards the limit of 256 KiB, which refused legal bodies in small chunks with 400 (64 MB in chunks of 1 KB); extensions and trailers still do. Not used by the gateway yet.

--- a/crates/gw-balance/src/lib.rs
+++ b/crates/gw-balance/src/lib.rs
@@ -5,17 +5,22 @@
 //! the requests to overloaded holders of keys. [`RequestQueue`] holds requests that wait for a free
 //! target, most urgent first. [`LinkPacer`] and [`TransferLoad`] keep large responses from filling
 //! the host's link. [`PathMonitor`] tells whether the host has lost its path to targets, and
-//! [`RelayTable`] and [`RelayPool`] choose the hosts that forward its requests meanwhile. The crate
+//! [`RelayTable`] and [`RelayPool`] choose the hosts that forward its requests meanwhile.
+//! [`MemoryBudget`] bounds what a host holds for others and who is closed if it is exceeded. The crate
 //! does no I/O and reads no clock: callers pass in the current time.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
 mod answered_requests;
 mod attempt_outcome;
+mod connection_group;
 mod holder_throttle;
 mod host_count;
 mod limit_table;
 mod link_pacer;
+mod memory_budget;
+mod memory_class;
+mod memory_limits;
 mod path_monitor;
 mod preferred_targets;
 mod relay_pool;
@@ -29,11 +34,19 @@
 
 pub use answered_requests::AnsweredRequests;
 pub use attempt_outcome::AttemptOutcome;
+pub use connection_group::ConnectionGroup;
 pub use holder_throttle::HolderThrottle;
 pub use host_count::HostCount;
 pub use limit_table::LimitTable;
 pub use limit_table::TargetLimit;
 pub use link_pacer::LinkPacer;
+pub use memory_budget::ConnectionAnswer;
+pub use memory_budget::ConnectionState;
+pub use memory_budget::DemandAnswer;
+pub use memory_budget::MemoryBudget;
+pub use memory_budget::MemoryVerdict;
+pub use memory_class::MemoryClass;
+pub use memory_limits::MemoryLimits;
 pub use path_monitor::PathMonitor;
 pub use preferred_targets::PreferredTargets;
 pub use relay_pool::RelayPeer;
--- a/crates/gw-dispatch/src/request_fingerprint.rs
+++ b/crates/gw-dispatch/src/request_fingerprint.rs
@@ -23,12 +23,31 @@
     /// Returns the fingerprint of a request. `path` includes the query. `body` is the whole body,
     /// or `None` if it is not in memory as a whole.
     pub fn of(method: &str, path: &str, key: Option<KeyHash>, body: Option<&[u8]>) -> Self {
+        let mut hasher = Self::start(method, path, key);
+        add_part(&mut hasher, body);
+        Self(hasher.digest128())
+    }
+
+    /// The same for a body of `len` bytes that is in memory in `segments`.
+    pub fn of_segments<'a>(
+        method: &str,
+        path: &str,
+        key: Option<KeyHash>,
+        len: usize,
+        segments: impl Iterator<Item = &'a [u8]>,
+    ) -> Self {
+        let mut hasher = Self::start(method, path, key);
+        hasher.update(&(len as u64).to_le_bytes());
+        segments.for_each(|segment| hasher.update(segment));
+        Self(hasher.digest128())
+    }
+
+    fn start(method: &str, path: &str, key: Option<KeyHash>) -> Xxh3Default {
         let mut hasher = Xxh3Default::new();
         add_part(&mut hasher, Some(method.as_bytes()));
         add_part(&mut hasher, Some(path.as_bytes()));
         add_part(&mut hasher, key.map(|key| key.0.to_le_bytes()).as_ref().map(|key| &key[..]));
-        add_part(&mut hasher, body);
-        Self(hasher.digest128())
+        hasher
     }
 }
 
--- a/crates/gw-pipeline/src/body_decoder.rs
+++ b/crates/gw-pipeline/src/body_decoder.rs
@@ -3,12 +3,21 @@
 use bytes::BytesMut;
 
 use crate::ParseError;
+use crate::RequestBody;
 
 /// Longest line of a chunk's size with its extensions, or of a trailer field, in bytes.
 const MAX_LINE_BYTES: usize = 4 * 1024;
-/// Largest sum of the lines of one body, in bytes: a caller that splits a body into tiny chunks with
-/// long extensions must not occupy the connection without limit.
+/// Bytes of a line that are not counted: the size of a chunk and the line end. A body may come in
+/// chunks of any size.
+const FREE_LINE_BYTES: usize = 18;
+/// Largest sum of the bytes of extensions and trailer fields of one body: a caller that adds them to
+/// tiny chunks must not occupy the connection without limit.
 const MAX_LINES_BYTES: usize = 256 * 1024;
+/// Size of the segments of a large body. Segments of one size leave no gaps between them that other
+/// bodies could not use.
+const SEGMENT_BYTES: usize = 64 * 1024;
+/// First capacity of a body in chunks, whose length is not known.
+const FIRST_CHUNKED_BYTES: usize = 1024;
 
 #[derive(Clone, Copy, Debug)]
 enum DecoderState {
@@ -25,9 +34,15 @@
 #[derive(Debug)]
 pub(crate) struct BodyDecoder {
     state: DecoderState,
-    body: BytesMut,
-    /// Never exceeded by `body`.
+    /// Full segments.
+    segments: Vec<Bytes>,
+    /// The segment that is being filled; its capacity is at most [`SEGMENT_BYTES`].
+    segment: BytesMut,
+    /// Bytes of the body so far.
+    len: usize,
+    /// Never exceeded by `len`.
     max_body_bytes: usize,
+    /// Bytes of extensions and trailers so far.
     line_bytes: usize,
 }
 
@@ -45,11 +60,70 @@
     }
 
     fn new(state: DecoderState, max_body_bytes: usize) -> Self {
-        Self { state, body: BytesMut::new(), max_body_bytes, line_bytes: 0 }
+        let (segments, segment) = (Vec::new(), BytesMut::new());
+        Self { state, segments, segment, len: 0, max_body_bytes, line_bytes: 0 }
+    }
+
+    /// Number of bytes of the body so far.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Length of the body, if it is known.
+    pub(crate) fn length(&self) -> Option<usize> {
+        match self.state {
+            DecoderState::Length(left) => Some(self.len + left),
+            _ => None,
+        }
+    }
+
+    /// Buffer to which bytes of the body can be read directly, and how many; `None` if something
+    /// else may come before them.
+    pub(crate) fn read_buffer(&mut self) -> Option<(&mut BytesMut, usize)> {
+        let (DecoderState::Length(left) | DecoderState::ChunkData(left)) = self.state else {
+            return None;
+        };
+        if left == 0 {
+            return None;
+        }
+        let room = self.make_room(left);
+        Some((&mut self.segment, room.min(left)))
+    }
+
+    /// Records that `count` bytes were read to [`Self::read_buffer`].
+    pub(crate) fn record_read(&mut self, count: usize) {
+        self.len += count;
+        match &mut self.state {
+            DecoderState::Length(left) | DecoderState::ChunkData(left) => *left -= count,
+            _ => {}
+        }
+    }
+
+    /// Makes room in the present segment, or in a new one, for a part of `left` bytes that follow.
+    /// Returns how many fit.
+    fn make_room(&mut self, left: usize) -> usize {
+        if self.segment.len() == SEGMENT_BYTES {
+            self.segments.push(std::mem::take(&mut self.segment).freeze());
+        }
+        if self.segment.len() == self.segment.capacity() {
+            let room = match self.length() {
+                Some(_) => left,
+                // A body without a stated length may end soon.
+                None => self.segment.len().max(FIRST_CHUNKED_BYTES),
+            };
+            let room = room.min(SEGMENT_BYTES - self.segment.len());
+            let mut larger = BytesMut::with_capacity(self.segment.len() + room);
+            larger.extend_from_slice(&self.segment);
+            self.segment = larger;
+        }
+        self.segment.capacity().min(SEGMENT_BYTES) - self.segment.len()
     }
 
     /// Consumes bytes of `buffer` and returns the body once it is complete.
-    pub(crate) fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, ParseError> {
+    pub(crate) fn decode(
+        &mut self,
+        buffer: &mut BytesMut,
+    ) -> Result<Option<RequestBody>, ParseError> {
         loop {
             match self.state {
                 DecoderState::Length(left) => {
@@ -60,7 +134,7 @@
                 DecoderState::ChunkSize => {
                     let Some(line) = self.take_line(buffer)? else { return Ok(None) };
                     let size = chunk_size(&line)?;
-                    if size > self.max_body_bytes - self.body.len() {
+                    if size > self.max_body_bytes - self.len {
                         return Err(ParseError::BodyTooLarge);
                     }
                     self.state = match size {
@@ -94,16 +168,27 @@
         }
     }
 
-    fn take_body(&mut self) -> Bytes {
-        std::mem::take(&mut self.body).freeze()
+    fn take_body(&mut self) -> RequestBody {
+        let mut segments = std::mem::take(&mut self.segments);
+        if segments.is_empty() {
+            return RequestBody::from(std::mem::take(&mut self.segment).freeze());
+        }
+        if !self.segment.is_empty() {
+            segments.push(std::mem::take(&mut self.segment).freeze());
+        }
+        RequestBody::new(segments)
     }
 
     /// Moves up to `left` bytes to the body and returns how many remain.
-    fn take_data(&mut self, buffer: &mut BytesMut, left: usize) -> usize {
-        let taken = left.min(buffer.len());
-        self.body.extend_from_slice(&buffer[..taken]);
-        buffer.advance(taken);
-        left - taken
+    fn take_data(&mut self, buffer: &mut BytesMut, mut left: usize) -> usize {
+        while left > 0 && !buffer.is_empty() {
+            let taken = self.make_room(left).min(left).min(buffer.len());
+            self.segment.extend_from_slice(&buffer[..taken]);
+            self.len += taken;
+            buffer.advance(taken);
+            left -= taken;
+        }
+        left
     }
 
     fn take_line(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, ParseError> {
@@ -111,7 +196,11 @@
             let is_bounded = buffer.len() <= MAX_LINE_BYTES;
             return if is_bounded { Ok(None) } else { Err(ParseError::MalformedBody) };
         };
-        self.line_bytes += end + 1;
+        let free_bytes = match self.state {
+            DecoderState::Trailers => 0,
+            _ => FREE_LINE_BYTES,
+        };
+        self.line_bytes += (end + 1).saturating_sub(free_bytes);
         if end > MAX_LINE_BYTES || self.line_bytes > MAX_LINES_BYTES {
             return Err(ParseError::MalformedBody);
         }
--- a/crates/gw-pipeline/src/lib.rs
+++ b/crates/gw-pipeline/src/lib.rs
@@ -8,11 +8,13 @@
 mod body_decoder;
 mod parse_error;
 mod parsed_request;
+mod request_body;
 mod request_parser;
 mod response_encoder;
 
 pub use parse_error::ParseError;
 pub use parsed_request::ParsedRequest;
+pub use request_body::RequestBody;
 pub use request_parser::ParserLimits;
 pub use request_parser::RequestParser;
 pub use response_encoder::BodyFraming;
--- a/crates/gw-pipeline/src/request_parser.rs
+++ b/crates/gw-pipeline/src/request_parser.rs
@@ -1,5 +1,7 @@
 use bytes::Buf;
+use bytes::BufMut;
 use bytes::BytesMut;
+use bytes::buf::Limit;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -46,12 +48,55 @@
     started: Option<StartedRequest>,
     /// Length of the buffer at which the head was last found to be incomplete.
     incomplete_len: usize,
+    /// Whether bytes were last read to the body itself and not to `buffer`.
+    reads_body: bool,
 }
 
 impl RequestParser {
     /// Creates a parser for a new connection.
     pub fn new(limits: ParserLimits) -> Self {
-        Self { limits, buffer: BytesMut::new(), started: None, incomplete_len: 0 }
+        let (buffer, started, incomplete_len) = (BytesMut::new(), None, 0);
+        Self { limits, buffer, started, incomplete_len, reads_body: false }
+    }
+
+    /// Buffer to which the next bytes are read, with room for `room` bytes, or for fewer if they
+    /// belong to a body. [`Self::record_read`] must follow the read.
+    pub fn read_buffer(&mut self, room: usize) -> Limit<&mut BytesMut> {
+        let is_parsed = self.buffer.is_empty();
+        let body = self.started.as_mut().filter(|_| is_parsed);
+        let target = body.and_then(|started| started.body.read_buffer());
+        self.reads_body = target.is_some();
+        match target {
+            Some((buffer, left)) => buffer.limit(left),
+            None => {
+                self.buffer.reserve(room);
+                let room = self.buffer.capacity() - self.buffer.len();
+                (&mut self.buffer).limit(room)
+            }
+        }
+    }
+
+    /// Records that `count` bytes were read to [`Self::read_buffer`].
+    pub fn record_read(&mut self, count: usize) {
+        if let Some(started) = self.started.as_mut().filter(|_| self.reads_body) {
+            started.body.record_read(count);
+        }
+    }
+
+    /// Bytes of the body that is being collected, and its length if that is known; `None` outside a
+    /// body.
+    pub fn body_len(&self) -> Option<(usize, Option<usize>)> {
+        self.started.as_ref().map(|started| (started.body.len(), started.body.length()))
+    }
+
+    /// Head of the request whose body is being collected.
+    pub fn started_head(&self) -> Option<&Request<()>> {
+        self.started.as_ref().map(|started| &started.head)
+    }
+
+    /// Drops what has arrived of a request that is refused. The connection must be closed.
+    pub fn clear(&mut self) {
+        *self = Self::new(self.limits);
     }
 
     /// Buffer to which received bytes are appended.
--- a/crates/gw-pipeline/tests/request_parser.rs
+++ b/crates/gw-pipeline/tests/request_parser.rs
@@ -1,5 +1,6 @@
 //! Splitting the bytes of a connection into requests.
 
+use bytes::BufMut;
 use bytes::Bytes;
 use gw_pipeline::ParseError;
 use gw_pipeline::ParserLimits;
@@ -25,6 +26,8 @@
                 Ok(Some(parsed)) => {
                     let (head, body) = parsed.request.into_parts();
                     let (method, path) = (head.method.to_string(), head.uri.to_string());
+                    let body: Vec<u8> = body.segments().flatten().copied().collect();
+                    let body = Bytes::from(body);
                     requests.push((method, path, body, parsed.keeps_alive));
                 }
                 Err(error) => return (requests, Some(error)),
@@ -210,6 +213,50 @@
     }
 }
 
+/// Guards against bodies that are damaged or refused when they are read in pieces of any size, or
+/// arrive in very small chunks.
+#[test]
+fn large_bodies_are_collected() {
+    const BYTES: usize = 300_000;
+    let limits = ParserLimits { head_bytes: 512, body_bytes: BYTES };
+    let content: Vec<u8> = (0..BYTES).map(|index| (index % 251) as u8).collect();
+    let with_length = [
+        format!("POST / HTTP/1.1\r\nContent-Length: {BYTES}\r\n\r\n").as_bytes(),
+        &content,
+        b"GET /next HTTP/1.1\r\n\r\n",
+    ]
+    .concat();
+    let in_chunks = |size: usize| {
+        let mut bytes = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+        for chunk in content.chunks(size) {
+            bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+            bytes.extend_from_slice(chunk);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"0\r\n\r\nGET /next HTTP/1.1\r\n\r\n");
+        bytes
+    };
+    for bytes in [with_length, in_chunks(1), in_chunks(100), in_chunks(100_000)] {
+        for read_bytes in [1_000, 2_048, 65_536, 1_000_000] {
+            let mut parser = RequestParser::new(limits);
+            let (mut left, mut bodies) = (&bytes[..], Vec::new());
+            while !left.is_empty() {
+                let mut buffer = parser.read_buffer(2_048);
+                let count = left.len().min(read_bytes).min(buffer.remaining_mut());
+                buffer.put_slice(&left[..count]);
+                parser.record_read(count);
+                left = &left[count..];
+                while let Some(parsed) = parser.next_request().expect("valid requests") {
+                    let body = parsed.request.into_body();
+                    let body: Vec<u8> = body.segments().flatten().copied().collect();
+                    bodies.push(body);
+                }
+            }
+            assert_eq!(bodies, [content.clone(), Vec::new()], "{read_bytes} bytes at once");
+        }
+    }
+}
+
 quickcheck! {
     /// Guards against crashes, and against results that depend on splits, for mutated input.
     fn mutated_bytes_are_parsed_alike(case: usize, changes: Vec<(usize, u8)>, split: usize) -> TestResult {
