--- a/crates/gw-balance/src/memory_budget.rs
+++ b/crates/gw-balance/src/memory_budget.rs
@@ -16,6 +16,9 @@
 const PROGRESS_BYTES: usize = 8 * 1024;
 /// Largest number of bodies that wait for memory. The kernel keeps up to the receive buffer of each.
 const MAX_WAITING: usize = 32;
+/// Number of connections that were told to close and are still open, beyond which no other is accepted
+/// in their place.
+const MAX_CLOSING: usize = 8;
 /// Interval between two reviews while memory is short.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -126,6 +129,8 @@
     held: [usize; 4],
     /// Number of connections by group that were not told to close.
     open: [usize; ConnectionGroup::COUNT],
+    /// Number of the others.
+    closing: [usize; ConnectionGroup::COUNT],
     /// Number of connections with a demand that waits.
     waiting: usize,
 }
@@ -134,7 +139,7 @@
     /// Creates a budget of which nothing is used.
     pub fn new(limits: MemoryLimits) -> Self {
         let (connections, open) = (Vec::new(), [0; ConnectionGroup::COUNT]);
-        Self { limits, connections, held: [0; 4], open, waiting: 0 }
+        Self { limits, connections, held: [0; 4], open, closing: open, waiting: 0 }
     }
 
     /// Returns the bytes held in a class.
@@ -160,6 +165,9 @@
     /// Whether a new connection of `group` may be accepted. A connection that has to be closed for it
     /// counts as closed.
     pub fn admit_connection(&mut self, now: Timestamp, group: ConnectionGroup) -> ConnectionAnswer {
+        if self.closing[group as usize] >= MAX_CLOSING {
+            return ConnectionAnswer::Full;
+        }
         if self.open[group as usize] < self.limits.connections[group as usize] {
             return ConnectionAnswer::Open;
         }
@@ -198,6 +206,7 @@
         if let Ok(index) = self.index(id) {
             self.set_closing(index, true);
             let entry = self.connections.remove(index);
+            self.closing[entry.group as usize] -= 1;
             self.waiting -= usize::from(entry.waiting.is_some());
             for (held, of_entry) in self.held.iter_mut().zip(entry.held) {
                 *held -= of_entry;
@@ -341,10 +350,16 @@
 
     fn set_closing(&mut self, index: usize, is_closing: bool) {
         let entry = &mut self.connections[index];
-        let open = &mut self.open[entry.group as usize];
+        let group = entry.group as usize;
         match (std::mem::replace(&mut entry.is_closing, is_closing), is_closing) {
-            (false, true) => *open -= 1,
-            (true, false) => *open += 1,
+            (false, true) => {
+                self.open[group] -= 1;
+                self.closing[group] += 1;
+            }
+            (true, false) => {
+                self.open[group] += 1;
+                self.closing[group] -= 1;
+            }
             _ => {}
         }
     }
--- a/crates/gw-gateway/src/callers/caller_connection.rs
+++ b/crates/gw-gateway/src/callers/caller_connection.rs
@@ -5,6 +5,10 @@
 
 use bytes::Buf;
 use bytes::BytesMut;
+use gw_balance::ConnectionState;
+use gw_balance::DemandAnswer;
+use gw_pipeline::BodyFraming;
+use gw_pipeline::ParseError;
 use gw_pipeline::ParsedRequest;
 use gw_pipeline::RequestParser;
 use gw_pipeline::ResponseEncoder;
@@ -27,12 +31,24 @@
 use crate::callers::caller_server::CallerHandler;
 use crate::callers::caller_server::CallerLimits;
 use crate::callers::request_turn::TurnCounter;
+use crate::memory::ConnectionMemory;
+use crate::memory::HeldBytes;
 use crate::targets::reset_on_close;
 
 /// Largest number of requests of a connection that are read and not answered yet.
 const MAX_PIPELINE_DEPTH: usize = 16;
 /// Bytes for which room is made before a read.
 const READ_BYTES: usize = 2 * 1024;
+/// Heads and responses up to this size, in bytes, are not counted one by one: the limit on connections
+/// bounds their sum.
+const SMALL_BYTES: usize = 4 * 1024;
+/// Bytes by which a body of unknown length grows at least.
+const BODY_STEP_BYTES: usize = 64 * 1024;
+/// Memory of a response that is forwarded as it arrives: the buffer of the target's connection and one
+/// piece.
+const STREAM_BYTES: usize = 72 * 1024;
+/// Largest body of a response, in bytes, that is copied to be sent in one piece with its head.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
 /// Longest time for which a caller may accept no byte of a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which a connection may deliver a request that was on its way when the host closed: the
@@ -41,6 +57,8 @@
 /// Time for which bytes of the caller are read and dropped after the last response. Closing with
 /// unread bytes resets the connection, and the caller could lose that response.
 const LINGER_TIME: Duration = Duration::from_millis(100);
+/// Bytes that are dropped at once then: a refused body may still be on its way.
+const LINGER_READ_BYTES: usize = 16 * 1024;
 
 /// A request that is read and not answered yet.
 struct PendingResponse {
@@ -48,7 +66,14 @@
     version: Version,
     /// Whether the caller expects further responses on the connection.
     keeps_alive: bool,
-    task: JoinHandle<Response<ResponseBody>>,
+    task: JoinHandle<ReadyResponse>,
+}
+
+/// A response that can be sent.
+struct ReadyResponse {
+    response: Response<ResponseBody>,
+    /// What it holds until it is sent; `None` for small ones.
+    held: Option<HeldBytes>,
 }
 
 impl Drop for PendingResponse {
@@ -68,13 +93,17 @@
 
 /// What a connection waits for.
 enum ConnectionEvent {
-    Response(Response<ResponseBody>),
+    Response(ReadyResponse),
     /// Number of bytes received; 0 at the end of the stream.
     Received(usize),
     /// The response could not be computed, or the connection has failed.
     Failed(String),
     TimedOut,
     Closing,
+    /// Whether the memory for the body that is arriving was granted.
+    Decided(bool),
+    /// The memory or descriptor of the connection is needed.
+    Shed,
 }
 
 /// One connection of a caller. Requests are read ahead and run at the same time; responses are sent
@@ -97,10 +126,18 @@
     /// When the connection last made progress.
     active_at: Instant,
     output: BytesMut,
+    memory: ConnectionMemory,
+    /// Bytes for which the body that is arriving waits; nothing is read meanwhile.
+    awaited: Option<usize>,
 }
 
 impl<H: CallerHandler + 'static> CallerConnection<H> {
-    pub(crate) fn new(handler: Rc<H>, peer: SocketAddr, closing: watch::Receiver<bool>) -> Self {
+    pub(crate) fn new(
+        handler: Rc<H>,
+        peer: SocketAddr,
+        closing: watch::Receiver<bool>,
+        memory: ConnectionMemory,
+    ) -> Self {
         let limits = handler.limits();
         Self {
             handler,
@@ -115,6 +152,8 @@
             is_closing: false,
             active_at: Instant::now(),
             output: BytesMut::new(),
+            memory,
+            awaited: None,
         }
     }
 
@@ -154,16 +193,23 @@
                 if !self.reads_requests {
                     return Ok(ConnectionEnd::AfterResponse);
                 }
-                if self.parser.awaits_continue() {
+                if self.awaited.is_none() && self.parser.awaits_continue() {
                     ResponseEncoder::put_continue(&mut self.output);
                     self.flush(writer).await?;
                     self.parser.set_continued();
                 }
             }
+            self.record_state();
             match self.next_event(reader).await {
-                ConnectionEvent::Response(response) => {
-                    self.send_response(writer, response).await?;
+                ConnectionEvent::Response(ready) => {
+                    self.send_response(writer, ready).await?;
                 }
+                ConnectionEvent::Decided(is_granted) => self.take_decision(is_granted),
+                // The caller may have sent something in the meantime.
+                ConnectionEvent::Shed if self.pending.is_empty() && !self.has_arrived(reader) => {
+                    return Ok(ConnectionEnd::Idle);
+                }
+                ConnectionEvent::Shed => self.memory.keep_open(),
                 ConnectionEvent::Received(0) => return Err("closed by the caller".to_owned()),
                 ConnectionEvent::Received(_) => {}
                 ConnectionEvent::Failed(cause) => return Err(cause),
@@ -189,19 +235,89 @@
         if !self.reads_requests {
             return false;
         }
-        let buffer = self.parser.buffer();
-        buffer.reserve(READ_BYTES);
-        let has_arrived = matches!(reader.try_read_buf(buffer), Ok(count) if count > 0);
-        has_arrived || self.read_count == 0 || self.parser.is_within_request()
+        self.has_arrived(reader) || self.read_count == 0 || self.parser.is_within_request()
+    }
+
+    /// Reads what has arrived, if anything has.
+    fn has_arrived(&mut self, reader: &OwnedReadHalf) -> bool {
+        match reader.try_read_buf(&mut self.parser.read_buffer(READ_BYTES)) {
+            Ok(count) => {
+                self.parser.record_read(count);
+                count > 0
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Records what the connection does and what has arrived.
+    fn record_state(&mut self) {
+        let state = if !self.pending.is_empty() {
+            ConnectionState::Running
+        } else if self.parser.is_within_body() {
+            ConnectionState::Body
+        } else if self.parser.is_within_request() {
+            ConnectionState::Head
+        } else {
+            ConnectionState::Idle
+        };
+        self.memory.set_state(state);
+        let buffered = self.parser.buffered();
+        self.memory.set_head_bytes(if buffered > SMALL_BYTES { buffered } else { 0 });
+    }
+
+    /// Acts on the decision about the memory for which the body that is arriving has waited.
+    fn take_decision(&mut self, is_granted: bool) {
+        let Some(bytes) = self.awaited.take() else { return };
+        self.active_at = Instant::now();
+        match is_granted {
+            true => self.memory.set_granted(bytes),
+            false => self.refuse_body(DemandAnswer::Refused),
+        }
+    }
+
+    /// Makes sure that the body which is arriving has the memory for its next part, or waits for it.
+    fn demand_memory(&mut self) {
+        let Some((len, length)) = self.parser.body_len() else { return };
+        let granted = self.memory.granted();
+        let needed = length.unwrap_or(len + BODY_STEP_BYTES);
+        if self.awaited.is_some() || needed <= granted {
+            return;
+        }
+        // A body of unknown length asks for a quarter more than it has, so that it asks seldom.
+        let step = granted + (granted / 4).max(BODY_STEP_BYTES);
+        let bytes = length.unwrap_or(step.max(needed));
+        let head = self.parser.started_head();
+        let max_wait = head.map_or(Duration::ZERO, |head| self.handler.max_body_wait(head));
+        match self.memory.demand(bytes, max_wait) {
+            DemandAnswer::Granted => {}
+            DemandAnswer::Waiting => self.awaited = Some(bytes),
+            answer => self.refuse_body(answer),
+        }
+    }
+
+    /// Refuses the request whose body is arriving, of which nothing has been sent on.
+    fn refuse_body(&mut self, answer: DemandAnswer) {
+        self.drop_body();
+        let response = match answer {
+            DemandAnswer::TooLarge => self.handler.refuse(ParseError::BodyTooLarge),
+            _ => self.handler.refuse_for_memory(),
+        };
+        self.push(Method::GET, Version::HTTP_11, false, async move { response });
+    }
+
+    fn drop_body(&mut self) {
+        self.parser.clear();
+        self.memory.drop_body();
     }
 
     /// Starts the handlers of complete requests.
     fn start_requests(&mut self) {
-        while self.reads_requests && self.pending.len() < MAX_PIPELINE_DEPTH {
+        while self.reads_requests && self.pending.len() < self.pipeline_depth() {
             match self.parser.next_request() {
                 Ok(Some(parsed)) => self.start_request(parsed),
-                Ok(None) => return,
+                Ok(None) => return self.demand_memory(),
                 Err(error) => {
+                    self.drop_body();
                     let response = self.handler.refuse(error);
                     self.push(Method::GET, Version::HTTP_11, false, async move { response });
                 }
@@ -209,6 +325,13 @@
         }
     }
 
+    /// Number of requests that may be read and not answered now. What is read ahead waits while
+    /// memory is short.
+    fn pipeline_depth(&self) -> usize {
+        let has_room = self.pending.is_empty() || !self.memory.gate().is_short();
+        if has_room { MAX_PIPELINE_DEPTH } else { 1 }
+    }
+
     fn start_request(&mut self, parsed: ParsedRequest) {
         let ParsedRequest { request, keeps_alive } = parsed;
         let (method, version) = (request.method().clone(), request.version());
@@ -216,7 +339,20 @@
         if !self.pending.is_empty() {
             self.handler.count_pipelined();
         }
-        let response = self.handler.clone().respond(request, turn);
+        if self.memory.gate().is_exceeded() {
+            self.memory.gate().count_refusal("memory_full");
+            self.drop_body();
+            let response = self.handler.refuse_for_memory();
+            return self.push(method, version, false, async move { response });
+        }
+        let body_len = request.body().len();
+        let held = (body_len > 0).then(|| self.memory.finish_body(body_len));
+        let responding = self.handler.clone().respond(request, turn);
+        let response = async move {
+            let response = responding.await;
+            drop(held);
+            response
+        };
         // A host that shuts down takes no further request from the connection, so that the response
         // to the last one it has read can announce the end.
         let is_last = self.handler.is_stopping() || self.is_closing;
@@ -233,7 +369,15 @@
         self.reads_requests &= keeps_alive;
         self.read_count += 1;
         self.active_at = Instant::now();
-        let task = spawn_local(response);
+        let hold = self.memory.response_holder();
+        let task = spawn_local(async move {
+            let response = response.await;
+            let len = match response.body() {
+                ResponseBody::Whole(body) => body.len(),
+                ResponseBody::Streamed { .. } => STREAM_BYTES,
+            };
+            ReadyResponse { response, held: (len > SMALL_BYTES).then(|| hold(len)) }
+        });
         self.pending.push_back(PendingResponse { method, version, keeps_alive, task });
     }
 
@@ -241,11 +385,9 @@
         let is_idle = self.pending.is_empty();
         let idle_end = self.idle_end();
         // Reading goes on while requests run, since it shows that the caller has left.
-        let has_room = self.parser.buffered() <= self.limits.parser.head_bytes;
-        let buffer = self.parser.buffer();
-        if has_room {
-            buffer.reserve(READ_BYTES);
-        }
+        let has_room =
+            self.awaited.is_none() && self.parser.buffered() <= self.limits.parser.head_bytes;
+        let mut buffer = self.parser.read_buffer(if has_room { READ_BYTES } else { 0 });
         let front = self.pending.front_mut().map(|pending| &mut pending.task);
         let response = async {
             match front {
@@ -259,17 +401,25 @@
                 Ok(response) => ConnectionEvent::Response(response),
                 Err(cause) => ConnectionEvent::Failed(cause),
             },
-            received = reader.read_buf(buffer), if has_room => match received {
+            received = reader.read_buf(&mut buffer), if has_room => match received {
                 Ok(count) => ConnectionEvent::Received(count),
                 Err(error) => ConnectionEvent::Failed(error.to_string()),
             },
+            is_granted = self.memory.decision(), if self.awaited.is_some() => {
+                ConnectionEvent::Decided(is_granted)
+            }
+            () = self.memory.told_to_close() => ConnectionEvent::Shed,
             () = tokio::time::sleep_until(idle_end), if is_idle => ConnectionEvent::TimedOut,
             _ = self.closing.wait_for(|closing| *closing), if !self.is_closing => {
                 ConnectionEvent::Closing
             }
         };
-        if matches!(event, ConnectionEvent::Received(_)) && self.parser.is_within_body() {
-            self.active_at = Instant::now();
+        if let ConnectionEvent::Received(count) = event {
+            self.parser.record_read(count);
+            if self.parser.is_within_body() {
+                self.active_at = Instant::now();
+                self.memory.record_progress(count);
+            }
         }
         event
     }
@@ -283,8 +433,9 @@
     async fn send_response(
         &mut self,
         writer: &mut OwnedWriteHalf,
-        response: Response<ResponseBody>,
+        ready: ReadyResponse,
     ) -> Result<(), String> {
+        let ReadyResponse { response, held } = ready;
         let Some(pending) = self.pending.pop_front() else { return Ok(()) };
         let is_last = !pending.keeps_alive || (!self.reads_requests && self.pending.is_empty());
         // A host that shuts down announces the end with the last response that it will send.
@@ -293,7 +444,14 @@
         self.reads_requests &= !closes;
         let encoder = ResponseEncoder::new(&pending.method, pending.version, closes);
         let framing = encoder.put_head(&response, response.body().len(), &mut self.output);
+        self.memory.set_state(ConnectionState::Sending);
         match response.into_body() {
+            ResponseBody::Whole(mut body) if body.len() > MAX_COPIED_BYTES => {
+                self.flush(writer).await?;
+                if framing != BodyFraming::Empty {
+                    self.write(writer, &mut body).await?;
+                }
+            }
             ResponseBody::Whole(body) => {
                 ResponseEncoder::put_piece(framing, &body, &mut self.output);
             }
@@ -307,15 +465,32 @@
         }
         ResponseEncoder::put_end(framing, &mut self.output);
         self.flush(writer).await?;
+        drop(held);
         self.turns.advance();
         self.active_at = Instant::now();
         Ok(())
     }
 
     async fn flush(&mut self, writer: &mut OwnedWriteHalf) -> Result<(), String> {
-        while self.output.has_remaining() {
-            match timeout(WRITE_TIMEOUT, writer.write_buf(&mut self.output)).await {
+        let mut output = std::mem::take(&mut self.output);
+        let written = self.write(writer, &mut output).await;
+        // An idle connection keeps no large buffer.
+        if output.capacity() <= MAX_COPIED_BYTES {
+            self.output = output;
+        }
+        written
+    }
+
+    async fn write(&self, writer: &mut OwnedWriteHalf, bytes: &mut impl Buf) -> Result<(), String> {
+        while bytes.has_remaining() {
+            let written = tokio::select! {
+                biased;
+                written = timeout(WRITE_TIMEOUT, writer.write_buf(bytes)) => written,
+                () = self.memory.told_to_close() => return Err("does not read".to_owned()),
+            };
+            match written {
                 Ok(Ok(0)) => return Err("the connection takes no data".to_owned()),
+                Ok(Ok(count)) if bytes.has_remaining() => self.memory.record_progress(count),
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) => return Err(error.to_string()),
                 Err(_) => return Err("the caller does not read".to_owned()),
@@ -331,7 +506,7 @@
     if writer.shutdown().await.is_err() {
         return;
     }
-    let mut dropped = [0; 1024];
+    let mut dropped = vec![0; LINGER_READ_BYTES];
     while let Ok(Ok(count)) = timeout_at(end, reader.read(&mut dropped)).await {
         if count == 0 {
             return;
--- a/crates/gw-gateway/src/callers/caller_server.rs
+++ b/crates/gw-gateway/src/callers/caller_server.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use gw_balance::ConnectionGroup;
 use gw_pipeline::ParseError;
 use gw_pipeline::ParserLimits;
+use gw_pipeline::RequestBody;
 use http::Request;
 use http::Response;
 use tokio::net::TcpListener;
@@ -19,6 +20,7 @@
 use crate::http_server::ACCEPT_RETRY_DELAY;
 use crate::http_server::ConnectionCount;
 use crate::http_server::ConnectionGuard;
+use crate::memory::MemoryGate;
 
 /// Limits of a caller's connection.
 #[derive(Clone, Copy, Debug)]
@@ -39,13 +41,22 @@
     /// Responds to a request.
     fn respond(
         self: Rc<Self>,
-        request: Request<Bytes>,
+        request: Request<RequestBody>,
         turn: RequestTurn,
     ) -> impl Future<Output = Response<ResponseBody>> + 'static;
 
     /// Responds to bytes that are not a request.
     fn refuse(&self, error: ParseError) -> Response<ResponseBody>;
 
+    /// Responds to a request for whose body no memory is left. It has not been executed.
+    fn refuse_for_memory(&self) -> Response<ResponseBody>;
+
+    /// Longest time for which the body of a request may wait before it is read.
+    fn max_body_wait(&self, head: &Request<()>) -> Duration;
+
+    /// Memory of the host, and the group of its connections.
+    fn memory(&self) -> (Rc<MemoryGate>, ConnectionGroup);
+
     /// Counts a request that was read before an earlier one of its connection was answered.
     fn count_pipelined(&self);
 }
@@ -59,9 +70,12 @@
     handler: Rc<H>,
 ) {
     let shared = closing.clone();
+    let (memory, group) = handler.memory();
+    memory.bound_buffers(&listener);
     let start = |(stream, peer): (TcpStream, SocketAddr)| {
         let guard = ConnectionGuard::new(count.clone());
-        let connection = CallerConnection::new(handler.clone(), peer, shared.clone());
+        let connection =
+            CallerConnection::new(handler.clone(), peer, shared.clone(), memory.open(group));
         spawn_local(async move {
             connection.serve(stream).await;
             drop(guard);
@@ -69,7 +83,10 @@
     };
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
+            accepted = async {
+                memory.connection_room(group).await;
+                listener.accept().await
+            } => match accepted {
                 Ok(accepted) => start(accepted),
                 Err(error) => {
                     log::warn!("event=accept_failed cause=\"{error}\"");
--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -7,23 +7,29 @@
 use gw_fleet::FleetOutcome;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
+use http::request;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
+use crate::control::call_body::BODY_LIMIT;
+use crate::control::call_body::CallBodyError;
+use crate::control::call_body::read_body;
 use crate::control::control_host::ControlHost;
 use crate::control::control_host::ReplySink;
 use crate::link::CallResult;
 use crate::link::LinkMessage;
+use crate::memory::ConnectionMemory;
 use crate::ports::CallError;
 use crate::ports::ControlCall;
 use crate::ports::ControlReply;
 use crate::ports::TargetAnnouncement;
 
-/// Largest body of a call, in bytes; fits a configuration with thousands of routes.
-const BODY_LIMIT: usize = 16 * 1024 * 1024;
+/// Size of a body, in bytes, from which calls are decided one after the other.
+const LARGE_CALL_BYTES: usize = 64 * 1024;
+/// Longest wait for another large call. Clients try another control host after a second.
+const LARGE_CALL_WAIT: Duration = Duration::from_millis(800);
 /// Longest time until a call is decided. Clients try another control host after a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Interval at which the applied index is checked while a read waits for it.
@@ -33,31 +39,51 @@
 pub(crate) async fn handle_call(
     host: Rc<ControlHost>,
     request: Request<Incoming>,
+    memory: Rc<ConnectionMemory>,
 ) -> Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
-    let body = match Limited::new(body, BODY_LIMIT).collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(error) => {
-            let error = CallError::Body(error.to_string());
-            log::warn!("event=call_refused method={} path={path} cause=\"{error}\"", head.method);
-            return host.adapter.write_error(&error).map(Full::new);
-        }
+    let refuse = |error: CallError| {
+        log::warn!("event=call_refused method={} path={path} cause=\"{error}\"", head.method);
+        host.adapter.write_error(&error).map(Full::new)
+    };
+    let (body, _held) = match read_body(&memory, body).await {
+        Ok(read) => read,
+        Err(CallBodyError::TooLarge) => return refuse(CallError::TooLarge { limit: BODY_LIMIT }),
+        Err(CallBodyError::Broken(cause)) => return refuse(CallError::Body(cause)),
+        Err(CallBodyError::NoMemory) => return refuse_busy(&host, &head, &path, "memory_full"),
+    };
+    // A parsed configuration takes several times its size until it is decided.
+    let _large_call = match body.len() > LARGE_CALL_BYTES {
+        true => match timeout(LARGE_CALL_WAIT, host.large_call.acquire()).await {
+            Ok(permit) => permit.ok(),
+            Err(_) => return refuse_busy(&host, &head, &path, "another large call"),
+        },
+        false => None,
     };
     let call = match host.adapter.read_call(&head.method, &path, &body) {
         Ok(call) => call,
-        Err(error) => {
-            log::warn!("event=call_refused method={} path={path} cause=\"{error}\"", head.method);
-            return host.adapter.write_error(&error).map(Full::new);
-        }
+        Err(error) => return refuse(error),
     };
+    drop(body);
     let reply = execute(&host, call).await;
     if let ControlReply::Unavailable { reason } = &reply {
-        log::info!("event=call_unavailable method={} path={path} reason={reason}", head.method);
+        return refuse_busy(&host, &head, &path, reason);
     }
     host.adapter.write_reply(&reply).map(Full::new)
 }
 
+/// Answers a call that this host cannot serve now.
+fn refuse_busy(
+    host: &ControlHost,
+    head: &request::Parts,
+    path: &str,
+    reason: &'static str,
+) -> Response<Full<Bytes>> {
+    log::info!("event=call_unavailable method={} path={path} reason={reason}", head.method);
+    host.adapter.write_reply(&ControlReply::Unavailable { reason }).map(Full::new)
+}
+
 async fn execute(host: &Rc<ControlHost>, call: ControlCall) -> ControlReply {
     match call {
         ControlCall::Announce(announcement) => announce(host, announcement).await,
@@ -165,7 +191,7 @@
     }
     let log = host.log.borrow();
     match log.state().stored_config() {
-        Some(config) => ControlReply::Config(Bytes::copy_from_slice(&config.document)),
+        Some(config) => ControlReply::Config(Bytes::from_owner(config.document.clone())),
         None => ControlReply::NoConfig,
     }
 }
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -22,6 +22,7 @@
 use gw_types::HostId;
 use gw_types::TargetName;
 use gw_types::Timestamp;
+use tokio::sync::Semaphore;
 use tokio::sync::oneshot;
 
 use crate::GatewaySettings;
@@ -37,6 +38,7 @@
 use crate::link::CallResult;
 use crate::link::LinkHandle;
 use crate::link::LinkMessage;
+use crate::memory::MemoryGate;
 use crate::ports::ProtocolAdapter;
 use crate::ports::TargetDialer;
 use crate::targets::TargetConnections;
@@ -47,6 +49,12 @@
 /// Largest command, in bytes; fits a configuration with tens of thousands of routes and its
 /// document.
 const MAX_COMMAND_BYTES: usize = 16 * 1024 * 1024;
+/// Fraction of the process's memory for the bodies of calls. The control log and what is derived from
+/// it need the rest.
+const MEMORY_SHARE: f64 = 0.25;
+/// Size of the kernel's buffers of a connection for calls, in bytes: a configuration of 1 MB takes
+/// less than 0.1 s at a round trip of 10 ms.
+const SOCKET_BUFFER_BYTES: usize = 256 * 1024;
 /// Bounds for remembering requests that crash targets: `capacity` bounds memory, `hold` outlasts
 /// callers' retries.
 const QUARANTINE_OPTIONS: QuarantineOptions =
@@ -100,7 +108,11 @@
     pub(crate) settings: RefCell<GatewaySettings>,
     pub(crate) adapter: Rc<dyn ProtocolAdapter>,
     pub(crate) clock: BootClock,
-    pub(crate) metrics: GatewayMetrics,
+    pub(crate) metrics: Rc<GatewayMetrics>,
+    /// What this host holds for calls.
+    pub(crate) memory: Rc<MemoryGate>,
+    /// Held while a large call is parsed and decided, which takes several times its size.
+    pub(crate) large_call: Semaphore,
     pub(crate) control_address: SocketAddr,
     pub(crate) connections: TargetConnections,
     pub(crate) identity: RefCell<Option<ReplicaIdentity>>,
@@ -144,9 +156,13 @@
         control_address: SocketAddr,
     ) -> Rc<Self> {
         let clock = BootClock;
+        let metrics = Rc::new(GatewayMetrics::default());
+        let memory = MemoryGate::new(&settings, MEMORY_SHARE, SOCKET_BUFFER_BYTES, metrics.clone());
         Rc::new(Self {
             adapter,
-            metrics: GatewayMetrics::default(),
+            metrics,
+            memory,
+            large_call: Semaphore::new(1),
             control_address,
             connections: TargetConnections::new(dialer),
             identity: RefCell::default(),
--- a/crates/gw-gateway/src/control/mod.rs
+++ b/crates/gw-gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Control hosts: replicate the control log, serve calls of targets and operators, and grant key
 //! ranges to targets.
 
+mod call_body;
 mod call_handler;
 mod control_host;
 mod fleet_log;
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use gw_balance::ConnectionGroup;
 use gw_fleet::DepartureCause;
 use gw_fleet::FleetCommand;
 use tokio::sync::mpsc;
@@ -57,16 +58,18 @@
     let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
     spawn_local(accept_links(peers, events.clone()));
     let shared = host.clone();
-    spawn_local(serve_metrics(metrics, move || shared.metrics.text()));
+    spawn_local(serve_metrics(metrics, host.memory.clone(), move || shared.metrics.text()));
+    spawn_local(host.memory.clone().run());
     let shared = host.clone();
     spawn_local(watch_settings(source, move |settings| {
         *shared.settings.borrow_mut() = settings;
     }));
     let (closer, closing) = watch::channel(false);
     let shared = host.clone();
-    let handler = Rc::new(move |request, _peer| handle_call(shared.clone(), request));
+    let handler = Rc::new(move |request, memory| handle_call(shared.clone(), request, memory));
+    let memory = (host.memory.clone(), ConnectionGroup::Callers);
     let count = ConnectionCount::default();
-    spawn_local(serve(listener, count.clone(), closing, handler));
+    spawn_local(serve(listener, count.clone(), memory, closing, handler));
     let mut links = PeerLinks::new(host.clone(), events);
     let unreachable = Rc::new(UnreachableTargets::default());
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -41,6 +41,7 @@
 use crate::entry::transfer_gate::TransferGate;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::link::log_limit;
+use crate::memory::MemoryGate;
 use crate::ports::ProtocolAdapter;
 use crate::ports::TargetDialer;
 use crate::targets::TargetConnections;
@@ -52,6 +53,12 @@
 const RETRY_BUDGET_SHARE: f64 = 0.8;
 /// Number of hosts among which limits are divided until the leader has reported one.
 const UNKNOWN_HOST_COUNT: u32 = 16;
+/// Fraction of the process's memory for requests and responses. The largest body of the usual
+/// configuration (64 MiB) fits on hosts of 120 MB; an idle host uses 5 to 10 MB.
+const MEMORY_SHARE: f64 = 0.625;
+/// Size of the kernel's buffers of a caller's connection, in bytes. The links of entry hosts have up
+/// to 5 Mbit/s, which this fills at round trips of 100 ms.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 /// Bounds for remembering requests that crash targets: `capacity` bounds memory, `hold` outlasts a
 /// caller's retries.
 const QUARANTINE_OPTIONS: QuarantineOptions =
@@ -62,7 +69,9 @@
     pub(crate) settings: RefCell<GatewaySettings>,
     pub(crate) adapter: Rc<dyn ProtocolAdapter>,
     pub(crate) clock: BootClock,
-    pub(crate) metrics: GatewayMetrics,
+    pub(crate) metrics: Rc<GatewayMetrics>,
+    /// What this host holds for callers and other hosts.
+    pub(crate) memory: Rc<MemoryGate>,
     /// The replicated state as far as this host has received it.
     pub(crate) learned: RefCell<LearnedState>,
     /// Whether the state has once been as recent as that of a control host in contact with a
@@ -124,12 +133,15 @@
         dialer: Rc<dyn TargetDialer>,
     ) -> Rc<Self> {
         let transfers = TransferGate::new(settings.link_rate);
+        let metrics = Rc::new(GatewayMetrics::default());
+        let memory = MemoryGate::new(&settings, MEMORY_SHARE, SOCKET_BUFFER_BYTES, metrics.clone());
         let pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
         Rc::new(Self {
             settings: RefCell::new(settings),
             adapter,
             clock: BootClock,
-            metrics: GatewayMetrics::default(),
+            metrics,
+            memory,
             learned: RefCell::default(),
             has_caught_up: Cell::new(false),
             last_contact: Cell::new(Timestamp::ZERO),
--- a/crates/gw-gateway/src/entry/read_request.rs
+++ b/crates/gw-gateway/src/entry/read_request.rs
@@ -1,8 +1,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gw_dispatch::RequestFingerprint;
+use gw_pipeline::RequestBody;
 use gw_routing::RouteRule;
 use gw_types::KeyHash;
 use http::Request;
@@ -39,7 +39,7 @@
     pub(crate) origin: RequestOrigin,
     pub(crate) started: Instant,
     pub(crate) head: request::Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
     pub(crate) metadata: RequestMetadata,
     pub(crate) rule: RouteRule,
     pub(crate) params: AdmissionParams,
@@ -56,7 +56,7 @@
 /// Looks up the route and service of a request.
 pub(crate) fn read_request(
     host: &Rc<EntryHost>,
-    request: Request<Bytes>,
+    request: Request<RequestBody>,
     origin: RequestOrigin,
     started: Instant,
     number: u64,
@@ -90,7 +90,13 @@
     let key = metadata.key.filter(|_| is_keyed);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let key_hash = key.map(|key| KeyHash(u64::from(key)));
-    let fingerprint = RequestFingerprint::of(head.method.as_str(), path, key_hash, Some(&body));
+    let fingerprint = RequestFingerprint::of_segments(
+        head.method.as_str(),
+        path,
+        key_hash,
+        body.len(),
+        body.segments().map(|segment| &segment[..]),
+    );
     let caller_timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let timeout = rule.timeout.unwrap_or(DEFAULT_TIMEOUT).min(caller_timeout);
     let params = AdmissionParams {
--- a/crates/gw-gateway/src/entry/relay_attempt.rs
+++ b/crates/gw-gateway/src/entry/relay_attempt.rs
@@ -2,13 +2,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gw_balance::AttemptOutcome;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::response;
-use http_body_util::Full;
 use tokio::time::Instant;
 
 use crate::callers::ResponseBody;
@@ -27,6 +25,7 @@
 use crate::entry::transfer_gate::TransferSlot;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
+use crate::targets::OutgoingBody;
 use crate::targets::StreamedReply;
 use crate::targets::TargetReply;
 
@@ -184,7 +183,7 @@
     request: &ReadRequest,
     remaining: Duration,
     attempts: u32,
-) -> Request<Full<Bytes>> {
+) -> Request<OutgoingBody> {
     let mut outgoing = copy_request(request);
     let age = request.started.elapsed();
     RelayTerms { remaining, age, attempts }.write(outgoing.headers_mut());
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -1,10 +1,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use gw_balance::ConnectionGroup;
 use gw_dispatch::CrashVerdict;
 use gw_pipeline::ParseError;
 use gw_pipeline::ParserLimits;
+use gw_pipeline::RequestBody;
 use gw_routing::RepeatRule;
 use gw_types::TargetName;
 use http::Request;
@@ -34,6 +35,7 @@
 use crate::entry::transfer_gate::TransferSlot;
 use crate::http_server::DEFAULT_HEAD_BYTES;
 use crate::http_server::DEFAULT_IDLE_TIMEOUT;
+use crate::memory::MemoryGate;
 
 /// `Retry-After` when targets refused all attempts.
 const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -44,6 +46,14 @@
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` for a request that crashes targets: the time until the targets are back.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// `Retry-After` when the memory for bodies is used up: about the time in which senders without
+/// progress are closed.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest time for which a body waits for memory. Senders without progress are closed in about a
+/// second, and what they held is free then.
+const MAX_BODY_WAIT: Duration = Duration::from_secs(2);
+/// Part of the caller's time limit for which its body may wait, so that it can try elsewhere.
+const BODY_WAIT_SHARE: f64 = 0.25;
 /// Number of targets that a request may crash before all hosts refuse it.
 const CRASH_LIMIT: u8 = 3;
 /// Attempts that may fail before anything is sent. They do not count towards the route's
@@ -100,7 +110,7 @@
 
     fn respond(
         self: Rc<Self>,
-        request: Request<Bytes>,
+        request: Request<RequestBody>,
         turn: RequestTurn,
     ) -> impl Future<Output = Response<ResponseBody>> + 'static {
         handle_request(self.host.clone(), request, self.origin, turn)
@@ -113,6 +123,27 @@
         refusal.response_to(self.origin)
     }
 
+    fn refuse_for_memory(&self) -> Response<ResponseBody> {
+        let refusal = LocalReply::not_executed("memory_full", MEMORY_RETRY_AFTER);
+        log_refusal(&self.host, self.host.next_number(), &refusal);
+        self.host.metrics.count_request("none", refusal.reason, Duration::ZERO);
+        refusal.response_to(self.origin)
+    }
+
+    fn max_body_wait(&self, head: &Request<()>) -> Duration {
+        let (head, ()) = head.clone().into_parts();
+        let timeout = self.host.adapter.read_request_metadata(&head).timeout;
+        timeout.map_or(MAX_BODY_WAIT, |timeout| MAX_BODY_WAIT.min(timeout.mul_f64(BODY_WAIT_SHARE)))
+    }
+
+    fn memory(&self) -> (Rc<MemoryGate>, ConnectionGroup) {
+        let group = match self.origin {
+            RequestOrigin::Caller => ConnectionGroup::Callers,
+            RequestOrigin::EntryHost => ConnectionGroup::Hosts,
+        };
+        (self.host.memory.clone(), group)
+    }
+
     fn count_pipelined(&self) {
         self.host.metrics.pipelined_requests.inc();
     }
@@ -121,7 +152,7 @@
 /// Handles one request, from reading it to the response.
 async fn handle_request(
     host: Rc<EntryHost>,
-    request: Request<Bytes>,
+    request: Request<RequestBody>,
     origin: RequestOrigin,
     turn: RequestTurn,
 ) -> Response<ResponseBody> {
--- a/crates/gw-gateway/src/entry/run_entry.rs
+++ b/crates/gw-gateway/src/entry/run_entry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gw_balance::ConnectionGroup;
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
@@ -56,7 +57,8 @@
     let metrics = SocketAddr::new(settings.address, settings.peer_port + 1);
     let host = EntryHost::new(settings, adapter, dialer);
     let shared = host.clone();
-    spawn_local(serve_metrics(metrics, move || shared.metrics.text()));
+    spawn_local(serve_metrics(metrics, host.memory.clone(), move || shared.metrics.text()));
+    spawn_local(host.memory.clone().run());
     spawn_local(ControlLinks::run(host.clone()));
     spawn_local(run_admission(host.clone()));
     spawn_local(watch_path(host.clone()));
@@ -89,7 +91,8 @@
 }
 
 async fn serve_readiness(listener: TcpListener, host: Rc<EntryHost>) {
-    let handler = Rc::new(move |request: http::Request<hyper::body::Incoming>, _peer| {
+    let memory = (host.memory.clone(), ConnectionGroup::Checks);
+    let handler = Rc::new(move |request: http::Request<hyper::body::Incoming>, _memory| {
         let is_known = request.uri().path() == host.adapter.ready_path();
         let status = match (is_known, host.is_ready()) {
             (false, _) => StatusCode::NOT_FOUND,
@@ -104,5 +107,5 @@
     });
     // Readiness checks are served until the process ends.
     let (_open, closing) = watch::channel(false);
-    serve(listener, ConnectionCount::default(), closing, handler).await;
+    serve(listener, ConnectionCount::default(), memory, closing, handler).await;
 }
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -1,7 +1,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gw_balance::AttemptOutcome;
 use gw_balance::TargetLimit;
 use gw_daemon::remove_hop_fields;
@@ -17,7 +16,6 @@
 use http::StatusCode;
 use http::header;
 use http::response;
-use http_body_util::Full;
 use tokio::time::Instant;
 
 use crate::callers::ResponseBody;
@@ -32,6 +30,7 @@
 use crate::ports::AttemptMetadata;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
+use crate::targets::OutgoingBody;
 use crate::targets::StreamedReply;
 use crate::targets::TargetReply;
 
@@ -97,6 +96,7 @@
     };
     let max_whole_bytes = match request.rule.repeat {
         RepeatRule::UntilFirstByte => MAX_WHOLE_DOWNLOAD_BYTES,
+        _ if !host.memory.has_room_for_responses() => MAX_WHOLE_DOWNLOAD_BYTES,
         RepeatRule::Idempotent | RepeatRule::AtMostOnce => MAX_WHOLE_BYTES,
     };
     let options = ExchangeOptions { deadline: until, max_idle, max_whole_bytes };
@@ -222,7 +222,7 @@
     request: &ReadRequest,
     target: &TargetName,
     remaining: Duration,
-) -> Request<Full<Bytes>> {
+) -> Request<OutgoingBody> {
     let mut outgoing = copy_request(request);
     let metadata = AttemptMetadata { target: target.clone(), remaining };
     host.adapter.write_attempt_metadata(outgoing.headers_mut(), &metadata);
@@ -242,8 +242,8 @@
 
 /// Returns a request to another server, with the caller's headers that are not about one
 /// connection.
-pub(crate) fn copy_request(request: &ReadRequest) -> Request<Full<Bytes>> {
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+pub(crate) fn copy_request(request: &ReadRequest) -> Request<OutgoingBody> {
+    let mut outgoing = Request::new(OutgoingBody::from(request.body.clone()));
     *outgoing.method_mut() = request.head.method.clone();
     *outgoing.uri_mut() = origin_form(&request.head.uri);
     let headers = outgoing.headers_mut();
--- a/crates/gw-gateway/src/gateway_metrics.rs
+++ b/crates/gw-gateway/src/gateway_metrics.rs
@@ -27,6 +27,18 @@
     pub(crate) service: String,
 }
 
+/// Labels of a counter by reason.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ReasonLabels {
+    pub(crate) reason: &'static str,
+}
+
+/// Labels of a gauge by class of memory.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ClassLabels {
+    pub(crate) class: &'static str,
+}
+
 /// Metrics of an entry host or control host, under the prefix `galenawheel`.
 pub(crate) struct GatewayMetrics {
     registry: Registry,
@@ -36,6 +48,9 @@
     pub(crate) pipelined_requests: Counter,
     pub(crate) streamed_bytes: Counter,
     pub(crate) broken_responses: Counter,
+    pub(crate) held_bytes: Family<ClassLabels, Gauge>,
+    pub(crate) memory_refusals: Family<ReasonLabels, Counter>,
+    pub(crate) memory_closures: Family<ReasonLabels, Counter>,
     pub(crate) waiting: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) state_index: Gauge,
@@ -55,6 +70,9 @@
             pipelined_requests: Counter::default(),
             streamed_bytes: Counter::default(),
             broken_responses: Counter::default(),
+            held_bytes: Family::default(),
+            memory_refusals: Family::default(),
+            memory_closures: Family::default(),
             waiting: Gauge::default(),
             config_version: Gauge::default(),
             state_index: Gauge::default(),
@@ -81,6 +99,12 @@
         registry.register("streamed_bytes", help, self.streamed_bytes.clone());
         let help = "Responses that broke off after their head was forwarded";
         registry.register("broken_responses", help, self.broken_responses.clone());
+        let help = "Bytes held for callers and targets by class";
+        registry.register("held_bytes", help, self.held_bytes.clone());
+        let help = "Requests refused for lack of memory by reason";
+        registry.register("memory_refusals", help, self.memory_refusals.clone());
+        let help = "Connections closed for their memory or descriptor by reason";
+        registry.register("shed_connections", help, self.memory_closures.clone());
         registry.register("waiting_requests", "Requests that wait for room", self.waiting.clone());
         let help = "Version of the routing configuration in force";
         registry.register("config_version", help, self.config_version.clone());
--- a/crates/gw-gateway/src/http_server.rs
+++ b/crates/gw-gateway/src/http_server.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gw_balance::ConnectionGroup;
+use gw_balance::ConnectionState;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
@@ -19,6 +21,9 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
+use crate::memory::ConnectionMemory;
+use crate::memory::MemoryGate;
+
 /// Delay after a failed `accept`.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -58,24 +63,31 @@
 /// Serves HTTP/1.1 connections. Once `closing` is true, stops accepting, closes idle connections,
 /// and closes the others after their current response.
 ///
-/// The handler's future is dropped when the client disconnects.
+/// The handler's future is dropped when the client disconnects, and when its connection is told to
+/// close because its memory or descriptor is needed.
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
     count: ConnectionCount,
+    (memory, group): (Rc<MemoryGate>, ConnectionGroup),
     mut closing: watch::Receiver<bool>,
     handler: Rc<H>,
 ) where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+    H: Fn(Request<Incoming>, Rc<ConnectionMemory>) -> F + 'static,
     F: Future<Output = Response<Full<Bytes>>> + 'static,
 {
     let shared = closing.clone();
+    memory.bound_buffers(&listener);
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
+            accepted = async {
+                memory.connection_room(group).await;
+                listener.accept().await
+            } => match accepted {
                 Ok((stream, peer)) => {
                     let open = ConnectionGuard::new(count.clone());
                     let (handler, closing) = (handler.clone(), shared.clone());
-                    spawn_local(serve_connection(stream, peer, closing, handler, open));
+                    let memory = Rc::new(memory.open(group));
+                    spawn_local(serve_connection(stream, peer, closing, handler, (open, memory)));
                 }
                 Err(error) => {
                     log::warn!("event=accept_failed cause=\"{error}\"");
@@ -92,17 +104,24 @@
     peer: SocketAddr,
     mut closing: watch::Receiver<bool>,
     handler: Rc<H>,
-    _open: ConnectionGuard,
+    (_open, memory): (ConnectionGuard, Rc<ConnectionMemory>),
 ) where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+    H: Fn(Request<Incoming>, Rc<ConnectionMemory>) -> F + 'static,
     F: Future<Output = Response<Full<Bytes>>> + 'static,
 {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("event=socket_option_failed peer={peer} cause=\"{error}\"");
     }
+    let shared = memory.clone();
     let service = service_fn(move |request| {
-        let response = handler(request, peer);
-        async move { Ok::<_, Infallible>(response.await) }
+        shared.set_state(ConnectionState::Running);
+        let response = handler(request, shared.clone());
+        let shared = shared.clone();
+        async move {
+            let response = response.await;
+            shared.set_state(ConnectionState::Idle);
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -116,6 +135,7 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        () = memory.told_to_close() => return,
     };
     if let Err(error) = ended {
         log::debug!("event=caller_connection_failed peer={peer} cause=\"{error}\"");
--- a/crates/gw-gateway/src/lib.rs
+++ b/crates/gw-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod http_server;
 mod link;
 mod log_output;
+mod memory;
 pub mod ports;
 mod process;
 mod settings;
--- a/crates/gw-gateway/src/ports/call_error.rs
+++ b/crates/gw-gateway/src/ports/call_error.rs
@@ -9,9 +9,15 @@
         /// Path of the request, without the query.
         path: String,
     },
-    /// The body is incomplete, too large, or not in the expected format.
+    /// The body is incomplete or not in the expected format.
     #[error("body: {0}")]
     Body(String),
+    /// The body is larger than this host accepts; it was not read to its end.
+    #[error("body: larger than {limit} bytes")]
+    TooLarge {
+        /// Largest body of a call, in bytes.
+        limit: usize,
+    },
     /// A field is missing or has an invalid value.
     #[error("field {field}: {reason}")]
     Field {
--- a/crates/gw-gateway/src/process.rs
+++ b/crates/gw-gateway/src/process.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use gw_balance::ConnectionGroup;
 use http::Response;
 use http_body_util::Full;
 use tokio::net::TcpListener;
@@ -16,6 +17,7 @@
 use crate::entry::run_entry;
 use crate::http_server::ConnectionCount;
 use crate::http_server::serve;
+use crate::memory::MemoryGate;
 use crate::ports::ProtocolAdapter;
 use crate::ports::SettingsSource;
 use crate::ports::TargetDialer;
@@ -89,7 +91,11 @@
 }
 
 /// Serves the metrics in the Prometheus text format until the process ends.
-pub(crate) async fn serve_metrics(address: SocketAddr, text: impl Fn() -> String + 'static) {
+pub(crate) async fn serve_metrics(
+    address: SocketAddr,
+    memory: Rc<MemoryGate>,
+    text: impl Fn() -> String + 'static,
+) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
@@ -97,10 +103,12 @@
             return;
         }
     };
-    let handler = Rc::new(move |_request, _peer| {
+    let (shared, group) = (memory.clone(), ConnectionGroup::Checks);
+    let handler = Rc::new(move |_request, _memory| {
+        shared.report();
         let body = Bytes::from(text());
         async move { Response::new(Full::new(body)) }
     });
     let (_open, closing) = watch::channel(false);
-    serve(listener, ConnectionCount::default(), closing, handler).await;
+    serve(listener, ConnectionCount::default(), (memory, group), closing, handler).await;
 }
--- a/crates/gw-gateway/src/targets/order_sender.rs
+++ b/crates/gw-gateway/src/targets/order_sender.rs
@@ -1,17 +1,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use gw_pipeline::RequestBody;
 use gw_ranges::OrderKind;
 use gw_ranges::OrderOutcome;
 use gw_ranges::TargetOrder;
 use http::Request;
 use http::header;
-use http_body_util::Full;
 use tokio::time::Instant;
 
 use crate::ports::ProtocolAdapter;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
+use crate::targets::OutgoingBody;
 use crate::targets::TargetConnections;
 
 /// Longest wait for the response to a grant.
@@ -46,7 +47,7 @@
         .uri(call.path)
         .header(header::HOST, address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(call.body));
+        .body(OutgoingBody::from(RequestBody::from(call.body)));
     let request = match request {
         Ok(mut request) => {
             request.headers_mut().extend(call.headers);
--- a/crates/gw-gateway/src/targets/socket_options.rs
+++ b/crates/gw-gateway/src/targets/socket_options.rs
@@ -1,4 +1,5 @@
 use std::io;
+use std::os::fd::AsFd;
 use std::time::Duration;
 
 use rustix::net::sockopt;
@@ -15,6 +16,14 @@
     Ok(())
 }
 
+/// Bounds what the kernel buffers for a connection in each direction, or for those that a listener
+/// accepts. Without this, it buffers up to several megabytes for a peer that does not read.
+pub(crate) fn set_buffer_sizes(socket: impl AsFd, bytes: usize) -> io::Result<()> {
+    sockopt::set_socket_recv_buffer_size(socket.as_fd(), bytes)?;
+    sockopt::set_socket_send_buffer_size(socket.as_fd(), bytes)?;
+    Ok(())
+}
+
 /// Makes closing the socket send a reset and discard unsent data, so that bytes that have not
 /// reached the target never will.
 pub(crate) fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use bytes::BytesMut;
 use gw_balance::PathMonitor;
 use gw_daemon::BootClock;
@@ -14,7 +13,6 @@
 use http::Response;
 use http::header;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -28,9 +26,11 @@
 use crate::ports::TargetDialer;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
+use crate::targets::OutgoingBody;
 use crate::targets::StreamedReply;
 use crate::targets::TargetReply;
 use crate::targets::TargetStream;
+use crate::targets::set_buffer_sizes;
 use crate::targets::set_socket_options;
 use crate::targets::socket_options::reset_on_close;
 
@@ -42,11 +42,14 @@
 const IDLE_TIME_SHARE: f64 = 0.6;
 /// Largest number of idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = 3;
+/// Size of the kernel's buffers of a connection, in bytes: a target that reads slowly and a caller
+/// that does are waited for with no more than this in memory.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub(super) struct TargetConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutgoingBody>,
     driver: JoinHandle<()>,
 }
 
@@ -154,7 +157,9 @@
             self.path.borrow_mut().record_unreachable(BootClock.now(), address);
         })?;
         self.path.borrow_mut().record_connected();
-        let configured = set_socket_options(&stream).and_then(|()| reset_on_close(&stream));
+        let configured = set_socket_options(&stream)
+            .and_then(|()| set_buffer_sizes(&stream, SOCKET_BUFFER_BYTES))
+            .and_then(|()| reset_on_close(&stream));
         configured.map_err(|error| error.to_string())?;
         self.opened.set(self.opened.get() + 1);
         let handshake =
@@ -173,7 +178,7 @@
     pub(crate) async fn exchange(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<OutgoingBody>,
         options: &ExchangeOptions,
         may_send: impl Fn() -> bool,
     ) -> ExchangeOutcome {
