--- a/crates/gw-balance/src/lib.rs
+++ b/crates/gw-balance/src/lib.rs
@@ -6,7 +6,8 @@
 //! target, most urgent first. [`LinkPacer`] and [`TransferLoad`] keep large responses from filling
 //! the host's link. [`PathMonitor`] tells whether the host has lost its path to targets, and
 //! [`RelayTable`] and [`RelayPool`] choose the hosts that forward its requests meanwhile.
-//! [`MemoryBudget`] bounds what a host holds for others and who is closed if it is exceeded. The crate
+//! [`MemoryBudget`] bounds what a host holds for others and who is closed if it is exceeded, and
+//! [`SentBytes`] what it has sent to one target. The crate
 //! does no I/O and reads no clock: callers pass in the current time.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
@@ -26,6 +27,7 @@
 mod relay_pool;
 mod relay_table;
 mod request_queue;
+mod sent_bytes;
 mod service_targets;
 mod target_pacer;
 mod target_pool;
@@ -55,6 +57,7 @@
 pub use relay_table::RelayTable;
 pub use request_queue::RequestQueue;
 pub use request_queue::WaitingRequest;
+pub use sent_bytes::SentBytes;
 pub use target_pool::HolderAvailability;
 pub use target_pool::TargetPool;
 pub use target_view::TargetView;
--- a/crates/gw-balance/src/request_queue.rs
+++ b/crates/gw-balance/src/request_queue.rs
@@ -14,6 +14,8 @@
     pub tried: Vec<TargetName>,
     /// Priority under load; 0 is the most urgent.
     pub priority: u8,
+    /// Length of its body in bytes.
+    pub body_bytes: usize,
 }
 
 /// Priority queue of waiting requests: the most urgent first, then in order of arrival.
--- a/crates/gw-balance/tests/request_queue.rs
+++ b/crates/gw-balance/tests/request_queue.rs
@@ -11,6 +11,7 @@
         key,
         tried: Vec::new(),
         priority,
+        body_bytes: 0,
     }
 }
 
--- a/crates/gw-gateway/src/callers/caller_connection.rs
+++ b/crates/gw-gateway/src/callers/caller_connection.rs
@@ -189,6 +189,7 @@
     ) -> Result<ConnectionEnd, String> {
         loop {
             self.start_requests();
+            self.demand_memory();
             if self.pending.is_empty() {
                 if !self.reads_requests {
                     return Ok(ConnectionEnd::AfterResponse);
@@ -315,7 +316,7 @@
         while self.reads_requests && self.pending.len() < self.pipeline_depth() {
             match self.parser.next_request() {
                 Ok(Some(parsed)) => self.start_request(parsed),
-                Ok(None) => return self.demand_memory(),
+                Ok(None) => return,
                 Err(error) => {
                     self.drop_body();
                     let response = self.handler.refuse(error);
@@ -456,10 +457,14 @@
                 ResponseEncoder::put_piece(framing, &body, &mut self.output);
             }
             ResponseBody::Streamed { mut pieces, deadline, .. } => {
+                // While the target is waited for, the caller is not at fault.
+                self.memory.set_state(ConnectionState::Running);
                 while let Some(piece) = pieces.next_piece().await? {
+                    self.memory.set_state(ConnectionState::Sending);
                     ResponseEncoder::put_piece(framing, &piece, &mut self.output);
                     let flushed = timeout_at(deadline, self.flush(writer)).await;
                     flushed.unwrap_or_else(|_| Err("the caller reads too slowly".to_owned()))?;
+                    self.memory.set_state(ConnectionState::Running);
                 }
             }
         }
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -35,6 +35,10 @@
 /// Longest `Retry-After` of a request refused under load.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Largest body, in bytes, of a request that no target takes only if none has capacity. A larger one
+/// may have to wait for the bytes that are in flight at targets.
+const SMALL_BODY_BYTES: usize = 64 * 1024;
+
 /// The properties of a request that admission depends on.
 #[derive(Clone, Debug)]
 pub(crate) struct AdmissionParams {
@@ -43,6 +47,7 @@
     /// `None` for services that are not partitioned by key.
     pub(crate) key: Option<u16>,
     pub(crate) priority: u8,
+    pub(crate) body_bytes: usize,
     /// Latency objective: a later response has less value to the caller.
     pub(crate) objective: Instant,
     /// When this host stops waiting for a response.
@@ -55,13 +60,20 @@
     host: Rc<EntryHost>,
     pub(crate) holder: RangeHolder,
     pub(crate) address: SocketAddr,
+    body_bytes: usize,
     outcome: AttemptOutcome,
 }
 
 impl SendPermit {
-    fn new(host: &Rc<EntryHost>, holder: RangeHolder, address: SocketAddr) -> Self {
+    fn new(
+        host: &Rc<EntryHost>,
+        (holder, address): (RangeHolder, SocketAddr),
+        body_bytes: usize,
+    ) -> Self {
         host.pool.borrow_mut().record_start(host.now(), &holder);
-        Self { host: host.clone(), holder, address, outcome: AttemptOutcome::Cancelled }
+        host.sent_bytes.borrow_mut().record_start(&holder.target, body_bytes);
+        let outcome = AttemptOutcome::Cancelled;
+        Self { host: host.clone(), holder, address, body_bytes, outcome }
     }
 
     /// Releases the permit and records the outcome of the request. A permit that is dropped without
@@ -75,6 +87,7 @@
     fn drop(&mut self) {
         let now = self.host.now();
         self.host.pool.borrow_mut().record_end(now, &self.holder, self.outcome);
+        self.host.sent_bytes.borrow_mut().record_end(&self.holder.target, self.body_bytes);
         self.host.admission_wakeup.notify_one();
     }
 }
@@ -110,10 +123,10 @@
 ) -> Result<SendPermit, LocalReply> {
     let now = host.now();
     if !has_queued_ahead(host, params)
-        && let Some((holder, address)) =
-            select_target(host, now, &params.service, params.key, tried)
+        && let Some(selected) =
+            select_target(host, now, (&params.service, params.key, params.body_bytes), tried)
     {
-        return Ok(SendPermit::new(host, holder, address));
+        return Ok(SendPermit::new(host, selected, params.body_bytes));
     }
     let max_wait = max_wait(host, now, params);
     let wait = match estimate_wait(host, now, params) {
@@ -134,6 +147,7 @@
         key: params.key,
         tried: tried.to_vec(),
         priority: params.priority,
+        body_bytes: params.body_bytes,
     });
     // No request may be in flight whose end would wake up the admission.
     host.admission_wakeup.notify_one();
@@ -171,22 +185,23 @@
 fn select_target(
     host: &EntryHost,
     now: Timestamp,
-    service: &ServiceName,
-    key: Option<u16>,
+    (service, key, body_bytes): (&ServiceName, Option<u16>, usize),
     tried: &[TargetName],
 ) -> Option<(RangeHolder, SocketAddr)> {
-    let pool = host.pool.borrow();
+    let (pool, sent) = (host.pool.borrow(), host.sent_bytes.borrow());
     let Some(key) = key else {
         let is_path_lost = host.connections.path().is_lost();
         let target = pool.pick_among(now, service, tried, |target| {
-            !is_path_lost || host.connections.has_idle(target.record.address)
+            (!is_path_lost || host.connections.has_idle(target.record.address))
+                && sent.may_send(&target.record.name, body_bytes)
         })?;
         return Some((target.record.holder(), target.record.address));
     };
     let state = host.state();
     let assignment = state.table(service)?.find(key);
     let holder = assignment.holder.as_ref().filter(|_| assignment.successor.is_none())?;
-    if pool.holder_availability(now, holder) != HolderAvailability::Available {
+    let is_available = pool.holder_availability(now, holder) == HolderAvailability::Available;
+    if !is_available || !sent.may_send(&holder.target, body_bytes) {
         return None;
     }
     Some((holder.clone(), pool.target(&holder.target)?.record.address))
@@ -295,11 +310,13 @@
             if request.key.is_none() && full.contains(&request.service) {
                 return None;
             }
-            let found = select_target(&host, now, &request.service, request.key, &request.tried);
-            if found.is_none() && request.key.is_none() && request.tried.is_empty() {
+            let wanted = (&request.service, request.key, request.body_bytes);
+            let found = select_target(&host, now, wanted, &request.tried);
+            let is_small = request.body_bytes <= SMALL_BODY_BYTES;
+            if found.is_none() && request.key.is_none() && request.tried.is_empty() && is_small {
                 full.push(request.service.clone());
             }
-            found.map(|(holder, address)| SendPermit::new(&host, holder, address))
+            found.map(|selected| SendPermit::new(&host, selected, request.body_bytes))
         });
         for (number, permit) in admitted {
             let sender = host.waiters.borrow_mut().remove(&number);
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -11,6 +11,7 @@
 use gw_balance::LimitTable;
 use gw_balance::PreferredTargets;
 use gw_balance::RequestQueue;
+use gw_balance::SentBytes;
 use gw_balance::TargetLimit;
 use gw_balance::TargetPool;
 use gw_daemon::BootClock;
@@ -104,6 +105,8 @@
     /// Keeps large responses from filling the link.
     pub(crate) transfers: TransferGate,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
+    /// Bytes of bodies that are in flight at targets.
+    pub(crate) sent_bytes: RefCell<SentBytes>,
     /// Requests that are in flight at targets.
     pub(crate) in_flight: RefCell<Vec<(RangeHolder, RequestFingerprint)>>,
     /// When this host learned of a pending move of a key range, by service and first key.
@@ -160,6 +163,7 @@
             relays: RelayHosts::new(dialer),
             transfers,
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
+            sent_bytes: RefCell::default(),
             in_flight: RefCell::default(),
             move_started: RefCell::default(),
             request_counts: RefCell::default(),
--- a/crates/gw-gateway/src/entry/read_request.rs
+++ b/crates/gw-gateway/src/entry/read_request.rs
@@ -104,6 +104,7 @@
         service,
         key,
         priority: rule.priority,
+        body_bytes: body.len(),
         objective: started + rule.objective.saturating_sub(age),
         deadline: started + timeout.saturating_sub(RETURN_MARGIN),
     };
