fix(gw-gateway): heads of requests count; small bodies wait; chunked bodies up to the limit

Cause: pipelined heads of 16 KB were not counted; small bodies were refused for as long as senders without progress kept the whole total, since nobody waited; a body in chunks asked for a quarter more than max-body-bytes and got 413. Change: a request holds twice its head and 4 KiB beside its body, a response its head; small bodies wait and go first; steps end at the limits.

--- a/crates/gw-balance/src/memory_budget.rs
+++ b/crates/gw-balance/src/memory_budget.rs
@@ -6,8 +6,7 @@
 use crate::MemoryClass;
 use crate::MemoryLimits;
 
-/// Largest body, in bytes, that counts as small: it may use the reserved part of the budget and does
-/// not wait.
+/// Largest body, in bytes, that counts as small: it may use the reserved part of the budget.
 const SMALL_BODY_BYTES: usize = 64 * 1024;
 /// Time without progress after which a connection is closed if its memory or descriptor is needed.
 const STALL_TIME: Duration = Duration::from_secs(1);
@@ -78,6 +77,7 @@
 struct WaitingDemand {
     /// Sum of the bytes of the body that it asks for.
     bytes: usize,
+    is_small: bool,
     since: Timestamp,
     until: Timestamp,
 }
@@ -117,7 +117,7 @@
 /// - A body of known length gets all its memory before it is read, so that it can always end. One
 ///   without grows; if there is no room, the oldest of these waits and the others are refused, so
 ///   that they do not wait for each other.
-/// - Small bodies, heads and responses are never refused here; they may use the reserved part.
+/// - Small bodies, heads and responses may use the reserved part. Small bodies go first.
 /// - While someone waits, or the total is exceeded, connections without progress are closed, the one
 ///   that has made none for longest first.
 #[derive(Debug)]
@@ -270,23 +270,22 @@
             self.connections[index].body_since = now;
         }
         let is_small = bytes <= SMALL_BODY_BYTES;
-        let limit = self.large_limit();
-        if bytes > limit {
+        if bytes > self.limit(false) {
             return DemandAnswer::TooLarge;
         }
         let more = bytes.saturating_sub(has);
         // A new large body does not overtake those that wait.
-        let fits = self.used() + more <= limit && (has > 0 || self.waiting == 0);
-        if fits || (is_small && self.used() + more <= self.limits.total) {
+        let is_next = is_small || has > 0 || self.waiting == 0;
+        if is_next && self.used() + more <= self.limit(is_small) {
             self.add_held(id, MemoryClass::ArrivingBody, more);
             return DemandAnswer::Granted;
         }
-        if is_small || (has > 0 && !self.is_oldest_body(index)) || self.waiting >= MAX_WAITING {
+        if (has > 0 && !self.is_oldest_body(index)) || self.waiting >= MAX_WAITING {
             return DemandAnswer::Refused;
         }
         self.waiting += 1;
         self.connections[index].waiting =
-            Some(WaitingDemand { bytes, since: now, until: now + max_wait });
+            Some(WaitingDemand { bytes, is_small, since: now, until: now + max_wait });
         DemandAnswer::Waiting
     }
 
@@ -311,8 +310,9 @@
             let Some(waiting) = entry.waiting else { break };
             let more = waiting.bytes - entry.held[MemoryClass::ArrivingBody as usize];
             let (id, needed) = (entry.id, self.used() + more);
-            if needed > self.large_limit() {
-                shortage = needed - self.large_limit();
+            let limit = self.limit(waiting.is_small);
+            if needed > limit {
+                shortage = needed - limit;
                 break;
             }
             let entry = &mut self.connections[index];
@@ -340,8 +340,9 @@
         verdicts
     }
 
-    fn large_limit(&self) -> usize {
-        self.limits.total - self.limits.small_reserve
+    /// Bytes that may be held once a small or a large body has been admitted.
+    fn limit(&self, is_small: bool) -> usize {
+        self.limits.total - if is_small { 0 } else { self.limits.small_reserve }
     }
 
     fn index(&self, id: u64) -> Result<usize, usize> {
@@ -373,12 +374,13 @@
         })
     }
 
-    /// The demand that is granted first: one for a body that has arrived in part, which holds memory,
-    /// or else the one that has waited longest.
+    /// The demand that is granted first: one for a small body, then one for a body that has arrived in
+    /// part, which holds memory, or else the one that has waited longest.
     fn first_waiting(&self) -> Option<usize> {
         let waiting = self.connections.iter().enumerate().filter_map(|(index, entry)| {
             let has_none = entry.held[MemoryClass::ArrivingBody as usize] == 0;
-            Some((has_none, entry.waiting?.since, entry.id, index))
+            let waiting = entry.waiting?;
+            Some((!waiting.is_small, has_none, waiting.since, entry.id, index))
         });
         waiting.min().map(|(.., index)| index)
     }
--- a/crates/gw-balance/src/memory_limits.rs
+++ b/crates/gw-balance/src/memory_limits.rs
@@ -18,6 +18,11 @@
 }
 
 impl MemoryLimits {
+    /// Largest body, in bytes, that can ever be held.
+    pub fn largest_body(&self) -> usize {
+        self.total - self.small_reserve
+    }
+
     /// Derives the limits from the memory and descriptors of the process. `share` is the fraction of
     /// the memory for what is held for others; the rest is for the process itself and for buffers of
     /// the kernel.
--- a/crates/gw-balance/tests/memory_budget.rs
+++ b/crates/gw-balance/tests/memory_budget.rs
@@ -117,6 +117,20 @@
                 Review(1_900, &[(3, MemoryVerdict::Granted)]),
             ],
         },
+        BudgetCase {
+            name: "small bodies wait while nothing is left, and go first",
+            steps: &[
+                State(0, 1, Body),
+                Demand(0, 1, 8 * MB, Granted),
+                State(500, 2, Sending),
+                Response(2, 2 * MB),
+                Demand(1_000, 3, MB, Waiting),
+                Demand(1_000, 4, 64 * 1024, Waiting),
+                Review(1_000, &[(1, Closed)]),
+                Close(1),
+                Review(1_100, &[(4, MemoryVerdict::Granted), (3, MemoryVerdict::Granted)]),
+            ],
+        },
         BudgetCase {
             name: "callers of requests that run are not closed",
             steps: &[
--- a/crates/gw-gateway/src/callers/caller_connection.rs
+++ b/crates/gw-gateway/src/callers/caller_connection.rs
@@ -39,9 +39,16 @@
 const MAX_PIPELINE_DEPTH: usize = 16;
 /// Bytes for which room is made before a read.
 const READ_BYTES: usize = 2 * 1024;
-/// Heads and responses up to this size, in bytes, are not counted one by one: the limit on connections
+/// Heads that are not complete are not counted up to this size, in bytes: the limit on connections
 /// bounds their sum.
 const SMALL_BYTES: usize = 4 * 1024;
+/// Memory of a parsed head, as a multiple of its length.
+const PARSED_HEAD_FACTOR: usize = 2;
+/// Memory of a request that waits or runs beside its head and body, in bytes: its task and its place
+/// in queues.
+const REQUEST_BYTES: usize = 4 * 1024;
+/// Memory of the head of a response, in bytes.
+const RESPONSE_HEAD_BYTES: usize = 1024;
 /// Bytes by which a body of unknown length grows at least.
 const BODY_STEP_BYTES: usize = 64 * 1024;
 /// Memory of a response that is forwarded as it arrives: the buffer of the target's connection and one
@@ -72,8 +79,8 @@
 /// A response that can be sent.
 struct ReadyResponse {
     response: Response<ResponseBody>,
-    /// What it holds until it is sent; `None` for small ones.
-    held: Option<HeldBytes>,
+    /// What it holds until it is sent.
+    held: HeldBytes,
 }
 
 impl Drop for PendingResponse {
@@ -280,12 +287,14 @@
     fn demand_memory(&mut self) {
         let Some((len, length)) = self.parser.body_len() else { return };
         let granted = self.memory.granted();
-        let needed = length.unwrap_or(len + BODY_STEP_BYTES);
+        let most = self.limits.parser.body_bytes;
+        let needed = length.unwrap_or((len + BODY_STEP_BYTES).min(most));
         if self.awaited.is_some() || needed <= granted {
             return;
         }
         // A body of unknown length asks for a quarter more than it has, so that it asks seldom.
         let step = granted + (granted / 4).max(BODY_STEP_BYTES);
+        let step = step.min(most).min(self.memory.gate().largest_body());
         let bytes = length.unwrap_or(step.max(needed));
         let head = self.parser.started_head();
         let max_wait = head.map_or(Duration::ZERO, |head| self.handler.max_body_wait(head));
@@ -334,7 +343,7 @@
     }
 
     fn start_request(&mut self, parsed: ParsedRequest) {
-        let ParsedRequest { request, keeps_alive } = parsed;
+        let ParsedRequest { request, head_bytes, keeps_alive } = parsed;
         let (method, version) = (request.method().clone(), request.version());
         let turn = self.turns.turn(self.read_count);
         if !self.pending.is_empty() {
@@ -346,8 +355,9 @@
             let response = self.handler.refuse_for_memory();
             return self.push(method, version, false, async move { response });
         }
-        let body_len = request.body().len();
-        let held = (body_len > 0).then(|| self.memory.finish_body(body_len));
+        let held = self
+            .memory
+            .finish_body(request.body().len() + head_bytes * PARSED_HEAD_FACTOR + REQUEST_BYTES);
         let responding = self.handler.clone().respond(request, turn);
         let response = async move {
             let response = responding.await;
@@ -377,7 +387,7 @@
                 ResponseBody::Whole(body) => body.len(),
                 ResponseBody::Streamed { .. } => STREAM_BYTES,
             };
-            ReadyResponse { response, held: (len > SMALL_BYTES).then(|| hold(len)) }
+            ReadyResponse { response, held: hold(len + RESPONSE_HEAD_BYTES) }
         });
         self.pending.push_back(PendingResponse { method, version, keeps_alive, task });
     }
--- a/crates/gw-gateway/src/control/call_body.rs
+++ b/crates/gw-gateway/src/control/call_body.rs
@@ -69,7 +69,9 @@
         }
         let granted = memory.granted();
         if needed > granted {
-            demand(memory, needed.max(granted + (granted / 4).max(BODY_STEP_BYTES))).await?;
+            let step = granted + (granted / 4).max(BODY_STEP_BYTES);
+            let step = step.min(BODY_LIMIT).min(memory.gate().largest_body());
+            demand(memory, needed.max(step)).await?;
             bytes.reserve_exact(memory.granted() - bytes.len());
         }
         bytes.extend_from_slice(&data);
--- a/crates/gw-gateway/src/memory/memory_gate.rs
+++ b/crates/gw-gateway/src/memory/memory_gate.rs
@@ -77,6 +77,11 @@
         act(&mut self.budget.borrow_mut(), self.clock.now())
     }
 
+    /// Largest body, in bytes, that this host can ever hold.
+    pub(crate) fn largest_body(&self) -> usize {
+        self.limits.largest_body()
+    }
+
     /// Whether so much is held that no request should be started that can wait.
     pub(crate) fn is_short(&self) -> bool {
         self.budget.borrow().is_short()
--- a/crates/gw-pipeline/src/parsed_request.rs
+++ b/crates/gw-pipeline/src/parsed_request.rs
@@ -7,6 +7,8 @@
 pub struct ParsedRequest {
     /// The request with its decoded body.
     pub request: Request<RequestBody>,
+    /// Length of the head in bytes.
+    pub head_bytes: usize,
     /// Whether the caller uses the connection for further requests.
     pub keeps_alive: bool,
 }
--- a/crates/gw-pipeline/src/request_parser.rs
+++ b/crates/gw-pipeline/src/request_parser.rs
@@ -31,6 +31,8 @@
 #[derive(Debug)]
 struct StartedRequest {
     head: Request<()>,
+    /// Length of the head in bytes.
+    head_bytes: usize,
     keeps_alive: bool,
     /// Whether the caller waits for `100 Continue` before it sends the body.
     awaits_continue: bool,
@@ -140,10 +142,11 @@
         }
         let Some(started) = &mut self.started else { return Ok(None) };
         let Some(body) = started.body.decode(&mut self.buffer)? else { return Ok(None) };
-        let Some(StartedRequest { head, keeps_alive, .. }) = self.started.take() else {
+        let Some(StartedRequest { head, head_bytes, keeps_alive, .. }) = self.started.take() else {
             return Ok(None);
         };
-        Ok(Some(ParsedRequest { request: head.map(|()| body), keeps_alive }))
+        let request = head.map(|()| body);
+        Ok(Some(ParsedRequest { request, head_bytes, keeps_alive }))
     }
 
     fn parse_head(&mut self) -> Result<Option<StartedRequest>, ParseError> {
@@ -170,7 +173,7 @@
         if len > self.limits.head_bytes {
             return Err(ParseError::HeadTooLarge);
         }
-        let started = start_request(&parsed, self.limits.body_bytes)?;
+        let started = start_request(&parsed, len, self.limits.body_bytes)?;
         self.buffer.advance(len);
         self.incomplete_len = 0;
         Ok(Some(started))
@@ -179,6 +182,7 @@
 
 fn start_request(
     parsed: &httparse::Request<'_, '_>,
+    head_bytes: usize,
     max_body_bytes: usize,
 ) -> Result<StartedRequest, ParseError> {
     let malformed = ParseError::MalformedHead;
@@ -203,7 +207,7 @@
     *head.uri_mut() = uri.map_err(|_| malformed)?;
     *head.version_mut() = version;
     *head.headers_mut() = headers;
-    Ok(StartedRequest { head, keeps_alive, awaits_continue, body })
+    Ok(StartedRequest { head, head_bytes, keeps_alive, awaits_continue, body })
 }
 
 fn body_decoder(headers: &HeaderMap, max_body_bytes: usize) -> Result<BodyDecoder, ParseError> {
