--- a/crates/gw-gateway/src/control/mod.rs
+++ b/crates/gw-gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Control hosts: replicate the control log, serve calls of targets and operators, and grant key
 //! ranges to targets.
 
+mod call_body;
 mod call_handler;
 mod cold_targets;
 mod control_host;
@@ -9,6 +10,7 @@
 mod group_membership;
 mod order_delivery;
 mod peer_links;
+mod recovered_fleet;
 mod replica_driver;
 mod replica_identity;
 mod run_control;
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use gw_balance::ConnectionGroup;
 use gw_fleet::DepartureCause;
 use gw_fleet::FleetCommand;
 use tokio::sync::mpsc;
@@ -56,18 +57,20 @@
     let host = ControlHost::new(settings, adapter, dialer, control_address);
     host.load_identity().map_err(|error| RunError::Data(error.to_string()))?;
     let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
-    spawn_local(accept_links(peers, events.clone()));
+    spawn_local(accept_links(peers, events.clone(), host.bounds));
     let shared = host.clone();
-    spawn_local(serve_metrics(metrics, move || shared.metrics.text()));
+    spawn_local(serve_metrics(metrics, host.memory.clone(), move || shared.metrics.text()));
+    spawn_local(host.memory.clone().run());
     let shared = host.clone();
     spawn_local(watch_settings(source, move |settings| {
         *shared.settings.borrow_mut() = settings;
     }));
     let (closer, closing) = watch::channel(false);
     let shared = host.clone();
-    let handler = Rc::new(move |request, _peer| handle_call(shared.clone(), request));
+    let handler = Rc::new(move |request, memory| handle_call(shared.clone(), request, memory));
+    let memory = (host.memory.clone(), ConnectionGroup::Callers);
     let count = ConnectionCount::default();
-    spawn_local(serve(listener, count.clone(), closing, handler));
+    spawn_local(serve(listener, count.clone(), memory, closing, handler));
     let mut links = PeerLinks::new(host.clone(), events);
     let unreachable = Rc::new(UnreachableTargets::default());
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
@@ -148,6 +151,7 @@
     let log = host.log.borrow();
     host.metrics.state_index.set(log.applied() as i64);
     host.metrics.config_version.set(log.state().config_version().0 as i64);
+    host.metrics.evacuated_zones.set(log.state().evacuations().len() as i64);
 }
 
 /// Starts the replica if it is not running: at process start, after a disk failure, and after its
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -20,6 +20,9 @@
 /// Longest queue wait, as a multiple of the time left until the latency objective. A late response
 /// still has a part of its value to the caller; the deadline bounds the wait as well.
 const OBJECTIVE_WAIT_FACTOR: f64 = 1.5;
+/// Longest queue wait of a request that is past its objective, as a multiple of the time left until
+/// its deadline.
+const LATE_WAIT_SHARE: f64 = 0.25;
 /// Longest wait while a key range moves to another holder. Most moves take a few milliseconds more
 /// than the longest request that is running on the old holder.
 const MAX_MOVE_WAIT: Duration = Duration::from_millis(250);
@@ -30,6 +33,8 @@
 const MAX_LIMIT_WAIT: Duration = Duration::from_millis(500);
 /// `Retry-After` when the key has no usable holder: about the duration of a move.
 pub(crate) const MOVE_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Reason of a refusal because all targets for the request are in evacuated zones.
+pub(crate) const ZONE_EVACUATED: &str = "zone_evacuated";
 /// Shortest `Retry-After` of a request refused under load.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest `Retry-After` of a request refused under load.
@@ -37,6 +42,9 @@
 
 /// Reason of a refusal: the only targets that the request may be sent to are cold.
 const TARGET_COLD: &str = "target_cold";
+/// Largest body, in bytes, of a request that no target takes only if none has capacity. A larger one
+/// may have to wait for the bytes that are in flight at targets.
+const SMALL_BODY_BYTES: usize = 64 * 1024;
 
 /// The properties of a request that admission depends on.
 #[derive(Clone, Debug)]
@@ -46,6 +54,7 @@
     /// `None` for services that are not partitioned by key.
     pub(crate) key: Option<u16>,
     pub(crate) priority: u8,
+    pub(crate) body_bytes: usize,
     /// Latency objective: a later response has less value to the caller.
     pub(crate) objective: Instant,
     /// When this host stops waiting for a response.
@@ -58,17 +67,24 @@
     host: Rc<EntryHost>,
     pub(crate) holder: RangeHolder,
     pub(crate) address: SocketAddr,
+    body_bytes: usize,
     outcome: AttemptOutcome,
 }
 
 impl SendPermit {
-    fn new(host: &Rc<EntryHost>, holder: RangeHolder, address: SocketAddr) -> Self {
+    fn new(
+        host: &Rc<EntryHost>,
+        (holder, address): (RangeHolder, SocketAddr),
+        body_bytes: usize,
+    ) -> Self {
         let now = host.now();
         let mut pool = host.pool.borrow_mut();
         host.metrics.cold_requests.inc_by(u64::from(pool.is_cold(now, &holder)));
         pool.record_start(now, &holder);
         drop(pool);
-        Self { host: host.clone(), holder, address, outcome: AttemptOutcome::Cancelled }
+        host.sent_bytes.borrow_mut().record_start(&holder.target, body_bytes);
+        let outcome = AttemptOutcome::Cancelled;
+        Self { host: host.clone(), holder, address, body_bytes, outcome }
     }
 
     /// Releases the permit and records the outcome of the request. A permit that is dropped without
@@ -82,6 +98,7 @@
     fn drop(&mut self) {
         let now = self.host.now();
         self.host.pool.borrow_mut().record_end(now, &self.holder, self.outcome);
+        self.host.sent_bytes.borrow_mut().record_end(&self.holder.target, self.body_bytes);
         self.host.admission_wakeup.notify_one();
     }
 }
@@ -117,10 +134,10 @@
 ) -> Result<SendPermit, LocalReply> {
     let now = host.now();
     if !has_queued_ahead(host, params)
-        && let Some((holder, address)) =
-            select_target(host, now, &params.service, params.key, tried)
+        && let Some(selected) =
+            select_target(host, now, (&params.service, params.key, params.body_bytes), tried)
     {
-        return Ok(SendPermit::new(host, holder, address));
+        return Ok(SendPermit::new(host, selected, params.body_bytes));
     }
     let max_wait = max_wait(host, now, params);
     let wait = match estimate_wait(host, now, params) {
@@ -142,6 +159,7 @@
         key: params.key,
         tried: tried.to_vec(),
         priority: params.priority,
+        body_bytes: params.body_bytes,
     });
     // No request may be in flight whose end would wake up the admission.
     host.admission_wakeup.notify_one();
@@ -152,10 +170,57 @@
     host.metrics.waiting.set(host.queue.borrow().len() as i64);
     match admitted {
         Ok(Ok(permit)) => Ok(permit),
-        _ => Err(LocalReply::not_executed("waited_too_long", retry_after)),
+        _ => Err(evacuation_refusal(host, params)
+            .unwrap_or_else(|| LocalReply::not_executed("waited_too_long", retry_after))),
     }
 }
 
+/// Returns a permit for a further attempt of a request without a key if a target has capacity now that
+/// no queued request of the service waits for.
+pub(crate) fn admit_now(
+    host: &Rc<EntryHost>,
+    params: &AdmissionParams,
+    tried: &[TargetName],
+) -> Option<SendPermit> {
+    if host.queue.borrow().count_ahead(&params.service, u8::MAX) > 0 {
+        return None;
+    }
+    let wanted = (&params.service, params.key, params.body_bytes);
+    let selected = select_target(host, host.now(), wanted, tried)?;
+    Some(SendPermit::new(host, selected, params.body_bytes))
+}
+
+/// Returns the refusal of a request that no target may get because zones are evacuated; `None` if one
+/// may.
+pub(crate) fn evacuation_refusal(host: &EntryHost, params: &AdmissionParams) -> Option<LocalReply> {
+    if !is_evacuated(host, host.now(), &params.service, params.key) {
+        return None;
+    }
+    let retry_after = match host.pool.borrow().has_targets(&params.service) {
+        true => MOVE_RETRY_AFTER,
+        false => MAX_RETRY_AFTER,
+    };
+    Some(LocalReply::not_executed(ZONE_EVACUATED, retry_after))
+}
+
+/// Whether no target may get a request because zones are evacuated. A key that moves will have another
+/// holder.
+fn is_evacuated(host: &EntryHost, now: Timestamp, service: &ServiceName, key: Option<u16>) -> bool {
+    if !host.has_evacuations() {
+        return false;
+    }
+    let pool = host.pool.borrow();
+    let Some(key) = key else { return pool.is_evacuated(service) };
+    let state = host.state();
+    let assignment = state.table(service).map(|table| table.find(key));
+    let Some(assignment) = assignment.filter(|assignment| assignment.successor.is_none()) else {
+        return false;
+    };
+    let availability =
+        assignment.holder.as_ref().map(|holder| pool.holder_availability(now, holder));
+    availability == Some(HolderAvailability::Evacuated)
+}
+
 /// Whether a queued request that takes precedence needs the same key range, or, without a key, the
 /// same service.
 fn has_queued_ahead(host: &EntryHost, params: &AdmissionParams) -> bool {
@@ -179,22 +244,23 @@
 fn select_target(
     host: &EntryHost,
     now: Timestamp,
-    service: &ServiceName,
-    key: Option<u16>,
+    (service, key, body_bytes): (&ServiceName, Option<u16>, usize),
     tried: &[TargetName],
 ) -> Option<(RangeHolder, SocketAddr)> {
-    let pool = host.pool.borrow();
+    let (pool, sent) = (host.pool.borrow(), host.sent_bytes.borrow());
     let Some(key) = key else {
         let is_path_lost = host.connections.path().is_lost();
         let target = pool.pick_among(now, service, tried, |target| {
-            !is_path_lost || host.connections.has_idle(target.record.address)
+            (!is_path_lost || host.connections.has_idle(target.record.address))
+                && sent.may_send(&target.record.name, body_bytes)
         })?;
         return Some((target.record.holder(), target.record.address));
     };
     let state = host.state();
     let assignment = state.table(service)?.find(key);
     let holder = assignment.holder.as_ref().filter(|_| assignment.successor.is_none())?;
-    if pool.holder_availability(now, holder) != HolderAvailability::Available {
+    let is_available = pool.holder_availability(now, holder) == HolderAvailability::Available;
+    if !is_available || !sent.may_send(&holder.target, body_bytes) {
         return None;
     }
     Some((holder.clone(), pool.target(&holder.target)?.record.address))
@@ -206,7 +272,8 @@
     let until = |at: Instant| at.saturating_duration_since(Instant::now());
     let before_deadline =
         until(params.deadline).saturating_sub(Duration::from_secs_f64(response_time * 1.2));
-    until(params.objective).mul_f64(OBJECTIVE_WAIT_FACTOR).min(before_deadline)
+    let useful = until(params.objective).mul_f64(OBJECTIVE_WAIT_FACTOR);
+    useful.max(until(params.deadline).mul_f64(LATE_WAIT_SHARE)).min(before_deadline)
 }
 
 /// Estimates from the queue, response times and pending moves when a target will have capacity for
@@ -303,16 +370,28 @@
         let now = host.now();
         // Services without keys for which no target has capacity.
         let mut full: Vec<ServiceName> = Vec::new();
+        // Requests that no target may get any more.
+        let mut evacuated: Vec<u64> = Vec::new();
         let admitted = host.queue.borrow_mut().take_admitted(|request| {
+            if is_evacuated(&host, now, &request.service, request.key) {
+                evacuated.push(request.number);
+                return None;
+            }
             if request.key.is_none() && full.contains(&request.service) {
                 return None;
             }
-            let found = select_target(&host, now, &request.service, request.key, &request.tried);
-            if found.is_none() && request.key.is_none() && request.tried.is_empty() {
+            let wanted = (&request.service, request.key, request.body_bytes);
+            let found = select_target(&host, now, wanted, &request.tried);
+            let is_small = request.body_bytes <= SMALL_BODY_BYTES;
+            if found.is_none() && request.key.is_none() && request.tried.is_empty() && is_small {
                 full.push(request.service.clone());
             }
-            found.map(|(holder, address)| SendPermit::new(&host, holder, address))
+            found.map(|selected| SendPermit::new(&host, selected, request.body_bytes))
         });
+        for number in evacuated {
+            // Ends the wait of the request, which is then refused.
+            host.waiters.borrow_mut().remove(&number);
+        }
         for (number, permit) in admitted {
             let sender = host.waiters.borrow_mut().remove(&number);
             if let Some(sender) = sender {
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -12,6 +12,7 @@
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
+use gw_ranges::OrderKind;
 use gw_ranges::RangeHolder;
 use gw_ranges::TargetOrder;
 use gw_types::Timestamp;
@@ -37,6 +38,7 @@
 use crate::link::RunReport;
 use crate::link::ServiceHeat;
 use crate::link::ShareReport;
+use crate::memory_bounds::MemoryBounds;
 use crate::targets::send_order;
 
 /// Interval between reports to control hosts.
@@ -95,9 +97,10 @@
     /// Runs until the process ends.
     pub(crate) async fn run(host: Rc<EntryHost>) {
         let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
+        let bounds = MemoryBounds::of(host.settings.borrow().memory_bytes);
         let mut links = Self {
             host,
-            dialed: DialedPeers::new(events),
+            dialed: DialedPeers::new(events, bounds),
             links: Vec::new(),
             group: ControlChoice::default(),
             is_cut_off: true,
@@ -229,6 +232,9 @@
         let knows_zone = head.is_leader || link.zone.as_ref() == Some(&own_zone);
         if head.is_current {
             self.host.last_contact.set(self.host.now());
+            if self.host.learned.borrow().contains(head.index) {
+                self.host.current_at.set(Some(self.host.now()));
+            }
         }
         if head.is_leader {
             let host_count = usize::try_from(head.host_count).unwrap_or(usize::MAX);
@@ -358,6 +364,7 @@
         }
         self.select_stream();
         self.check_progress();
+        self.host.log_stopped_zones();
         self.report();
         self.host.log_cold_targets();
         self.host.probe_cold_targets();
@@ -468,7 +475,9 @@
     address: SocketAddr,
     send_before: Timestamp,
 ) {
-    let may_send = || host.now() < send_before;
+    let is_grant = matches!(order.kind, OrderKind::Grant { .. });
+    let may_send =
+        || host.now() < send_before && (!is_grant || host.state().may_grant(&order.holder));
     let reply = send_order(&*host.adapter, &host.connections, address, &order, may_send).await;
     if reply.is_leaving {
         host.pool.borrow_mut().record_leaving(host.now(), &order.holder);
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -6,16 +6,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gw_balance::EvacuatedZones;
 use gw_balance::HolderThrottle;
 use gw_balance::HostCount;
+use gw_balance::LearningTime;
 use gw_balance::LimitTable;
 use gw_balance::LoadUses;
 use gw_balance::PreferredTargets;
 use gw_balance::RequestQueue;
+use gw_balance::SentBytes;
 use gw_balance::TargetLimit;
 use gw_balance::TargetPool;
 use gw_daemon::BootClock;
 use gw_dispatch::CrashQuarantine;
+use gw_dispatch::HedgePlanner;
 use gw_dispatch::QuarantineOptions;
 use gw_dispatch::RequestFingerprint;
 use gw_dispatch::RetryBudget;
@@ -30,12 +34,12 @@
 use gw_types::Clock;
 use gw_types::ServiceName;
 use gw_types::Timestamp;
-use gw_types::ZoneName;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::GatewayOptions;
 use crate::GatewaySettings;
 use crate::entry::admission::AdmissionParams;
 use crate::entry::admission::SendPermit;
@@ -44,9 +48,11 @@
 use crate::entry::transfer_gate::TransferGate;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::link::log_limit;
+use crate::memory::MemoryGate;
 use crate::ports::ProtocolAdapter;
 use crate::ports::TargetDialer;
 use crate::targets::TargetConnections;
+use crate::wall_clock::unix_millis;
 
 /// Shortest time between two updates of the target pool.
 const POOL_UPDATE_INTERVAL: Duration = Duration::from_millis(30);
@@ -55,6 +61,12 @@
 const RETRY_BUDGET_SHARE: f64 = 0.8;
 /// Number of hosts among which limits are divided until the leader has reported one.
 const UNKNOWN_HOST_COUNT: u32 = 16;
+/// Fraction of the process's memory for requests and responses. The largest body of the usual
+/// configuration (64 MiB) fits on hosts of 120 MB; an idle host uses 5 to 10 MB.
+const MEMORY_SHARE: f64 = 0.625;
+/// Size of the kernel's buffers of a caller's connection, in bytes. The links of entry hosts have up
+/// to 5 Mbit/s, which this fills at round trips of 100 ms.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 /// Bounds for remembering requests that crash targets: `capacity` bounds memory, `hold` outlasts a
 /// caller's retries.
 const QUARANTINE_OPTIONS: QuarantineOptions =
@@ -65,7 +77,9 @@
     pub(crate) settings: RefCell<GatewaySettings>,
     pub(crate) adapter: Rc<dyn ProtocolAdapter>,
     pub(crate) clock: BootClock,
-    pub(crate) metrics: GatewayMetrics,
+    pub(crate) metrics: Rc<GatewayMetrics>,
+    /// What this host holds for callers and other hosts.
+    pub(crate) memory: Rc<MemoryGate>,
     /// The replicated state as far as this host has received it.
     pub(crate) learned: RefCell<LearnedState>,
     /// Whether the state has once been as recent as that of a control host in contact with a
@@ -74,6 +88,11 @@
     /// When a control host in contact with a majority was last heard.
     pub(crate) last_contact: Cell<Timestamp>,
     pub(crate) pool: RefCell<TargetPool>,
+    /// When the state last contained everything that a control host in contact with a majority had
+    /// announced.
+    pub(crate) current_at: Cell<Option<Timestamp>>,
+    /// The evacuated zones of the state.
+    evacuated: RefCell<EvacuatedZones>,
     /// When the pool was last brought up to date.
     pool_updated_at: Cell<Instant>,
     /// Whether targets have changed since.
@@ -99,6 +118,8 @@
     /// Keeps large responses from filling the link.
     pub(crate) transfers: TransferGate,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
+    /// Bytes of bodies that are in flight at targets.
+    pub(crate) sent_bytes: RefCell<SentBytes>,
     /// Requests that are in flight at targets.
     pub(crate) in_flight: RefCell<Vec<(RangeHolder, RequestFingerprint)>>,
     /// When this host learned of a pending move of a key range, by service and first key.
@@ -108,6 +129,10 @@
     preferred_targets: RefCell<PreferredTargets>,
     /// Number of entry hosts in all zones, as reported by control hosts.
     pub(crate) host_count: Cell<usize>,
+    /// When this process started.
+    pub(crate) started_at: Instant,
+    /// Notified when the replicated state has changed.
+    pub(crate) state_changed: Notify,
     /// Notified when a change may let a queued request start.
     pub(crate) admission_wakeup: Notify,
     /// Whether the host is shutting down: it reports itself as not ready and closes connections
@@ -116,6 +141,8 @@
     pub(crate) closing: watch::Sender<bool>,
     /// When the process ends, once the host has been told to stop.
     pub(crate) stops_at: Cell<Option<Instant>>,
+    /// Second attempts for slow requests; `None` while they are turned off.
+    pub(crate) hedging: RefCell<Option<HedgePlanner>>,
     retry_budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     split_cursors: RefCell<BTreeMap<Arc<str>, WeightedRoundRobin>>,
     next_number: Cell<u64>,
@@ -128,17 +155,22 @@
         dialer: Rc<dyn TargetDialer>,
     ) -> Rc<Self> {
         let transfers = TransferGate::new(settings.link_rate);
+        let metrics = Rc::new(GatewayMetrics::default());
+        let memory = MemoryGate::new(&settings, MEMORY_SHARE, SOCKET_BUFFER_BYTES, metrics.clone());
         let mut pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
         pool.set_load_uses(LoadUses::default());
         Rc::new(Self {
             settings: RefCell::new(settings),
             adapter,
             clock: BootClock,
-            metrics: GatewayMetrics::default(),
+            metrics,
+            memory,
             learned: RefCell::default(),
             has_caught_up: Cell::new(false),
             last_contact: Cell::new(Timestamp::ZERO),
             pool: RefCell::new(pool),
+            current_at: Cell::new(None),
+            evacuated: RefCell::default(),
             pool_updated_at: Cell::new(Instant::now()),
             is_pool_stale: Cell::new(false),
             queue: RefCell::default(),
@@ -154,15 +186,19 @@
             relays: RelayHosts::new(dialer),
             transfers,
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
+            sent_bytes: RefCell::default(),
             in_flight: RefCell::default(),
             move_started: RefCell::default(),
             request_counts: RefCell::default(),
             preferred_targets: RefCell::default(),
             host_count: Cell::new(1),
+            started_at: Instant::now(),
+            state_changed: Notify::new(),
             admission_wakeup: Notify::new(),
             is_stopping: Cell::new(false),
             closing: watch::Sender::new(false),
             stops_at: Cell::new(None),
+            hedging: RefCell::default(),
             retry_budgets: RefCell::default(),
             split_cursors: RefCell::default(),
             next_number: Cell::new(0),
@@ -177,6 +213,16 @@
         self.next_number.replace(self.next_number.get() + 1)
     }
 
+    /// Puts options in force.
+    pub(crate) fn set_options(&self, options: GatewayOptions) {
+        let share = options.hedging.max_share;
+        let mut hedging = self.hedging.borrow_mut();
+        match &mut *hedging {
+            Some(planner) if share > 0.0 => planner.set_max_share(share),
+            _ => *hedging = (share > 0.0).then(|| HedgePlanner::new(share)),
+        }
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn config(&self) -> Option<Arc<RoutingConfig>> {
         self.state().config().cloned()
@@ -282,11 +328,9 @@
             state.config_version(),
             state.targets().len(),
         );
-        let evacuated = self.evacuated_zones();
         if self.learned.borrow_mut().install(index, state) == LearnOutcome::Advanced {
             self.is_pool_stale.set(true);
             self.refresh_from_state();
-            self.record_evacuation_changes(&evacuated);
         }
     }
 
@@ -298,7 +342,6 @@
         through: u64,
         commands: &[(u64, FleetCommand)],
     ) -> bool {
-        let evacuated = self.evacuated_zones();
         let mut version = self.state().config_version();
         let inspect = |command: &FleetCommand, state: &FleetState| {
             log_command(command);
@@ -316,7 +359,6 @@
         let outcome = self.learned.borrow_mut().apply(after, through, commands, inspect);
         if outcome == LearnOutcome::Advanced {
             self.refresh_from_state();
-            self.record_evacuation_changes(&evacuated);
         }
         if outcome == LearnOutcome::Incomplete && self.learned.borrow().is_damaged() {
             log::error!("event=config_change_unfit held={version}");
@@ -324,17 +366,6 @@
         outcome != LearnOutcome::Incomplete
     }
 
-    fn evacuated_zones(&self) -> Vec<ZoneName> {
-        self.state().evacuations().iter().map(|evacuation| evacuation.zone.clone()).collect()
-    }
-
-    /// Records which of the zones in `before` are no longer evacuated.
-    fn record_evacuation_changes(&self, before: &[ZoneName]) {
-        let ended = before.iter().filter(|zone| !self.state().is_evacuated(zone));
-        let ended: Vec<ZoneName> = ended.cloned().collect();
-        self.record_evacuation_ends(&ended);
-    }
-
     /// When the pool of targets is due to be brought up to date; `None` if it is.
     ///
     /// An update costs time for every target, and at the start of a large system hundreds of targets
@@ -357,6 +388,7 @@
         let mut pool = self.pool.borrow_mut();
         pool.set_state_index(self.applied());
         pool.update(self.now(), state.targets(), &preferred);
+        pool.set_evacuated(&self.evacuated.borrow());
         drop(pool);
         self.apply_limits();
     }
@@ -374,6 +406,7 @@
     /// queued requests.
     fn refresh_from_state(&self) {
         self.update_pool();
+        self.update_evacuations();
         let now = self.now();
         let state = self.state();
         self.metrics.config_version.set(state.config_version().0 as i64);
@@ -390,10 +423,65 @@
                 self.move_started.borrow_mut().insert(key, since);
             }
         }
+        if let Some(planner) = &mut *self.hedging.borrow_mut() {
+            planner.retain(|service| services.iter().any(|spec| spec.name == *service));
+        }
         drop(state);
+        self.state_changed.notify_waiters();
         self.admission_wakeup.notify_one();
     }
 
+    /// Waits until this host has a configuration, at most until `end`.
+    pub(crate) async fn wait_for_config(&self, end: Instant) {
+        let is_configured = async {
+            loop {
+                let changed = self.state_changed.notified();
+                if self.config().is_some() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        // Without a configuration by then, the request is refused.
+        tokio::time::timeout_at(end, is_configured).await.ok();
+    }
+
+    /// Takes over the evacuations of the state.
+    fn update_evacuations(&self) {
+        let learning = LearningTime {
+            now: self.now(),
+            current_at: self.current_at.get(),
+            unix_ms: unix_millis(),
+            evacuation_time: self.settings.borrow().evacuation_time,
+        };
+        let mut zones = self.evacuated.borrow_mut();
+        let changes = zones.update(self.state().evacuations(), &learning);
+        for (zone, stops_at) in &changes.started {
+            let millis = stops_at.since(learning.now).as_millis();
+            log::info!("event=evacuation_known zone={zone} stops_in_ms={millis}");
+        }
+        for zone in &changes.ended {
+            log::info!("event=evacuation_withdrawn zone={zone}");
+        }
+        if !changes.started.is_empty() || !changes.ended.is_empty() {
+            self.pool.borrow_mut().set_evacuated(&zones);
+        }
+        self.record_evacuation_ends(&changes.ended);
+        self.metrics.evacuated_zones.set(zones.len() as i64);
+    }
+
+    /// Whether any zone is evacuated.
+    pub(crate) fn has_evacuations(&self) -> bool {
+        !self.evacuated.borrow().is_empty()
+    }
+
+    /// Logs the zones to which this host has stopped sending since the last call.
+    pub(crate) fn log_stopped_zones(&self) {
+        for zone in self.evacuated.borrow_mut().take_stopped(self.now()) {
+            log::info!("event=evacuation_in_effect zone={zone}");
+        }
+    }
+
     /// Selects the service for the next request of a route, by the weights of its shares.
     pub(crate) fn choose_service(&self, host: &str, rule: &RouteRule) -> Option<ServiceName> {
         if let [share] = &rule.shares[..] {
--- a/crates/gw-gateway/src/entry/run_entry.rs
+++ b/crates/gw-gateway/src/entry/run_entry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gw_balance::ConnectionGroup;
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
@@ -11,6 +12,7 @@
 use tokio::task::spawn_local;
 
 use crate::GatewaySettings;
+use crate::OptionsFile;
 use crate::RunError;
 use crate::callers::serve_callers;
 use crate::entry::admission::run_admission;
@@ -21,6 +23,7 @@
 use crate::entry::request_handler::RequestHandler;
 use crate::http_server::ConnectionCount;
 use crate::http_server::serve;
+use crate::options_file::watch_options;
 use crate::ports::ProtocolAdapter;
 use crate::ports::SettingsSource;
 use crate::ports::TargetDialer;
@@ -42,7 +45,7 @@
     settings: GatewaySettings,
     adapter: Rc<dyn ProtocolAdapter>,
     dialer: Rc<dyn TargetDialer>,
-    source: Rc<dyn SettingsSource>,
+    (source, options): (Rc<dyn SettingsSource>, OptionsFile),
     callers: SocketAddr,
 ) -> Result<(), RunError> {
     let callers = bind("callers", callers).await?;
@@ -56,7 +59,8 @@
     let metrics = SocketAddr::new(settings.address, settings.peer_port + 1);
     let host = EntryHost::new(settings, adapter, dialer);
     let shared = host.clone();
-    spawn_local(serve_metrics(metrics, move || shared.metrics.text()));
+    spawn_local(serve_metrics(metrics, host.memory.clone(), move || shared.metrics.text()));
+    spawn_local(host.memory.clone().run());
     spawn_local(ControlLinks::run(host.clone()));
     spawn_local(run_admission(host.clone()));
     spawn_local(watch_path(host.clone()));
@@ -67,6 +71,8 @@
     spawn_local(watch_settings(source, move |settings| {
         *shared.settings.borrow_mut() = settings;
     }));
+    let shared = host.clone();
+    spawn_local(watch_options(options, move |options| shared.set_options(options)));
     let count = ConnectionCount::default();
     for (listener, origin) in [(callers, RequestOrigin::Caller), (relays, RequestOrigin::EntryHost)]
     {
@@ -89,7 +95,8 @@
 }
 
 async fn serve_readiness(listener: TcpListener, host: Rc<EntryHost>) {
-    let handler = Rc::new(move |request: http::Request<hyper::body::Incoming>, _peer| {
+    let memory = (host.memory.clone(), ConnectionGroup::Checks);
+    let handler = Rc::new(move |request: http::Request<hyper::body::Incoming>, _memory| {
         let is_known = request.uri().path() == host.adapter.ready_path();
         let status = match (is_known, host.is_ready()) {
             (false, _) => StatusCode::NOT_FOUND,
@@ -104,5 +111,5 @@
     });
     // Readiness checks are served until the process ends.
     let (_open, closing) = watch::channel(false);
-    serve(listener, ConnectionCount::default(), closing, handler).await;
+    serve(listener, ConnectionCount::default(), memory, closing, handler).await;
 }
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -1,7 +1,7 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gw_balance::AttemptOutcome;
 use gw_balance::TargetLimit;
 use gw_daemon::remove_hop_fields;
@@ -17,11 +17,11 @@
 use http::StatusCode;
 use http::header;
 use http::response;
-use http_body_util::Full;
 use tokio::time::Instant;
 
 use crate::callers::ResponseBody;
 use crate::entry::admission::SendPermit;
+use crate::entry::admission::ZONE_EVACUATED;
 use crate::entry::entry_host::EntryHost;
 use crate::entry::forwarded_stream::ForwardedStream;
 use crate::entry::read_request::ReadRequest;
@@ -30,8 +30,10 @@
 use crate::entry::relay_headers::TARGET_UNREACHABLE;
 use crate::entry::transfer_gate::TransferSlot;
 use crate::ports::AttemptMetadata;
+use crate::targets::ConnectionUse;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
+use crate::targets::OutgoingBody;
 use crate::targets::StreamedReply;
 use crate::targets::TargetReply;
 
@@ -97,15 +99,35 @@
     };
     let max_whole_bytes = match request.rule.repeat {
         RepeatRule::UntilFirstByte => MAX_WHOLE_DOWNLOAD_BYTES,
+        _ if !host.memory.has_room_for_responses() => MAX_WHOLE_DOWNLOAD_BYTES,
         RepeatRule::Idempotent | RepeatRule::AtMostOnce => MAX_WHOLE_BYTES,
     };
-    let options = ExchangeOptions { deadline: until, max_idle, max_whole_bytes };
+    let connection = ConnectionUse::Shared { max_idle };
+    let options = ExchangeOptions { deadline: until, connection, max_whole_bytes };
+    // The zone may become evacuated while a connection is opened.
+    let is_keyed = request.params.key.is_some();
+    let is_closed = || host.pool.borrow().is_closed(host.now(), &holder, is_keyed);
     let is_repeatable = request.rule.repeat != RepeatRule::AtMostOnce;
+    let was_sent = Cell::new(false);
+    let may_send = || {
+        let may_send = !is_closed();
+        was_sent.set(may_send);
+        may_send
+    };
     let end = tokio::select! {
         biased;
-        end = host.connections.exchange(address, outgoing, &options, || true) => end,
+        end = host.connections.exchange(address, outgoing, &options, may_send) => end,
         () = host.path_silence(), if is_repeatable && request.origin == RequestOrigin::Caller => {
             drop(in_flight);
+            if !was_sent.get() {
+                // The connection has not been established yet.
+                permit.finish(AttemptOutcome::Cancelled);
+                return ForwardOutcome::NotExecuted {
+                    reason: PATH_LOST,
+                    reached: false,
+                    misdirected: false,
+                };
+            }
             permit.finish(AttemptOutcome::Unanswered);
             return ForwardOutcome::Unknown {
                 status: StatusCode::BAD_GATEWAY,
@@ -155,6 +177,14 @@
         }
         ExchangeOutcome::NotSent(cause) => {
             log_failure(request, &permit, "not_sent", &cause);
+            if is_closed() {
+                permit.finish(AttemptOutcome::Cancelled);
+                return ForwardOutcome::NotExecuted {
+                    reason: ZONE_EVACUATED,
+                    reached: false,
+                    misdirected: false,
+                };
+            }
             // While the path is lost, a failure says nothing about the target.
             let is_path_lost = host.connections.path().is_lost();
             permit.finish(match is_path_lost {
@@ -222,7 +252,7 @@
     request: &ReadRequest,
     target: &TargetName,
     remaining: Duration,
-) -> Request<Full<Bytes>> {
+) -> Request<OutgoingBody> {
     let mut outgoing = copy_request(request);
     let metadata = AttemptMetadata { target: target.clone(), remaining };
     host.adapter.write_attempt_metadata(outgoing.headers_mut(), &metadata);
@@ -242,8 +272,8 @@
 
 /// Returns a request to another server, with the caller's headers that are not about one
 /// connection.
-pub(crate) fn copy_request(request: &ReadRequest) -> Request<Full<Bytes>> {
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+pub(crate) fn copy_request(request: &ReadRequest) -> Request<OutgoingBody> {
+    let mut outgoing = Request::new(OutgoingBody::from(request.body.clone()));
     *outgoing.method_mut() = request.head.method.clone();
     *outgoing.uri_mut() = origin_form(&request.head.uri);
     let headers = outgoing.headers_mut();
--- a/crates/gw-gateway/src/gateway_metrics.rs
+++ b/crates/gw-gateway/src/gateway_metrics.rs
@@ -27,15 +27,31 @@
     pub(crate) service: String,
 }
 
+/// Labels of a counter by reason.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ReasonLabels {
+    pub(crate) reason: &'static str,
+}
+
+/// Labels of a gauge by class of memory.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ClassLabels {
+    pub(crate) class: &'static str,
+}
+
 /// Metrics of an entry host or control host, under the prefix `galenawheel`.
 pub(crate) struct GatewayMetrics {
     registry: Registry,
     requests: Family<EndLabels, Counter>,
     latency: Family<ServiceLabels, Histogram>,
     orders: Family<EndLabels, Counter>,
+    second_attempts: Family<EndLabels, Counter>,
     pub(crate) pipelined_requests: Counter,
     pub(crate) streamed_bytes: Counter,
     pub(crate) broken_responses: Counter,
+    pub(crate) held_bytes: Family<ClassLabels, Gauge>,
+    pub(crate) memory_refusals: Family<ReasonLabels, Counter>,
+    pub(crate) memory_closures: Family<ReasonLabels, Counter>,
     pub(crate) waiting: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) state_index: Gauge,
@@ -46,6 +62,8 @@
     pub(crate) cold_requests: Counter,
     pub(crate) cold_refusals: Counter,
     pub(crate) dropped_lines: Gauge,
+    pub(crate) evacuated_zones: Gauge,
+    pub(crate) evacuation_refusals: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -55,9 +73,13 @@
             requests: Family::default(),
             latency: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS)),
             orders: Family::default(),
+            second_attempts: Family::default(),
             pipelined_requests: Counter::default(),
             streamed_bytes: Counter::default(),
             broken_responses: Counter::default(),
+            held_bytes: Family::default(),
+            memory_refusals: Family::default(),
+            memory_closures: Family::default(),
             waiting: Gauge::default(),
             config_version: Gauge::default(),
             state_index: Gauge::default(),
@@ -68,6 +90,8 @@
             cold_requests: Counter::default(),
             cold_refusals: Counter::default(),
             dropped_lines: Gauge::default(),
+            evacuated_zones: Gauge::default(),
+            evacuation_refusals: Counter::default(),
         };
         metrics.register();
         metrics
@@ -81,12 +105,20 @@
         let help = "Time from reading a request's head to its answer, in seconds";
         registry.register("request_seconds", help, self.latency.clone());
         registry.register("orders", "Orders about key ranges by end", self.orders.clone());
+        let help = "Second attempts for slow requests: sent, won, lost, cancelled or denied";
+        registry.register("second_attempts", help, self.second_attempts.clone());
         let help = "Requests that were read before an earlier one of their connection was answered";
         registry.register("pipelined_requests", help, self.pipelined_requests.clone());
         let help = "Bytes of responses that were forwarded as they arrived";
         registry.register("streamed_bytes", help, self.streamed_bytes.clone());
         let help = "Responses that broke off after their head was forwarded";
         registry.register("broken_responses", help, self.broken_responses.clone());
+        let help = "Bytes held for callers and targets by class";
+        registry.register("held_bytes", help, self.held_bytes.clone());
+        let help = "Requests refused for lack of memory by reason";
+        registry.register("memory_refusals", help, self.memory_refusals.clone());
+        let help = "Connections closed for their memory or descriptor by reason";
+        registry.register("shed_connections", help, self.memory_closures.clone());
         registry.register("waiting_requests", "Requests that wait for room", self.waiting.clone());
         let help = "Version of the routing configuration in force";
         registry.register("config_version", help, self.config_version.clone());
@@ -105,6 +137,10 @@
         registry.register("cold_refusals", help, self.cold_refusals.clone());
         let help = "Log lines dropped since the start";
         registry.register("log_lines_dropped", help, self.dropped_lines.clone());
+        let help = "Zones whose targets are to get no requests";
+        registry.register("evacuated_zones", help, self.evacuated_zones.clone());
+        let help = "Requests refused because the targets for them are in evacuated zones";
+        registry.register("evacuation_refusals", help, self.evacuation_refusals.clone());
     }
 
     /// Records a finished request: its outcome and the time from its head to its response.
@@ -115,6 +151,12 @@
         self.latency.get_or_create(&labels).observe(elapsed.as_secs_f64());
     }
 
+    /// Records an event of a second attempt for a slow request.
+    pub(crate) fn count_second_attempt(&self, service: &str, end: &str) {
+        let labels = EndLabels { service: service.to_owned(), end: end.to_owned() };
+        self.second_attempts.get_or_create(&labels).inc();
+    }
+
     /// Records the outcome of an order to a target.
     pub(crate) fn count_order(&self, service: &str, end: &str) {
         let labels = EndLabels { service: service.to_owned(), end: end.to_owned() };
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -2,6 +2,16 @@
 
 mod cold_message;
 mod dialed_peers;
+#[cfg(test)]
+#[path = "../../tests/link/earlier_frames.rs"]
+mod earlier_frames;
+#[cfg(test)]
+#[path = "../../tests/link/earlier_values.rs"]
+mod earlier_values;
+mod frame_budget;
+mod frame_decoder;
+mod frame_queue;
+mod link_frame;
 mod link_handle;
 mod link_message;
 mod link_task;
@@ -11,7 +21,11 @@
 pub(crate) use cold_message::LeaseReport;
 pub(crate) use cold_message::WarmthReport;
 pub(crate) use dialed_peers::DialedPeers;
+pub(crate) use frame_budget::FrameBudget;
+pub(crate) use frame_queue::FrameQueue;
+pub(crate) use link_frame::LinkFrame;
 pub(crate) use link_handle::LinkHandle;
+pub(crate) use link_handle::encode;
 pub(crate) use link_message::CallFailure;
 pub(crate) use link_message::CallId;
 pub(crate) use link_message::CallResult;
--- a/crates/gw-gateway/src/process.rs
+++ b/crates/gw-gateway/src/process.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use gw_balance::ConnectionGroup;
 use http::Response;
 use http_body_util::Full;
 use tokio::net::TcpListener;
@@ -12,10 +13,12 @@
 use tokio::task::LocalSet;
 
 use crate::GatewaySettings;
+use crate::OptionsFile;
 use crate::control::run_control;
 use crate::entry::run_entry;
 use crate::http_server::ConnectionCount;
 use crate::http_server::serve;
+use crate::memory::MemoryGate;
 use crate::ports::ProtocolAdapter;
 use crate::ports::SettingsSource;
 use crate::ports::TargetDialer;
@@ -45,12 +48,14 @@
 }
 
 /// Runs an entry host or a control host, depending on which listener the settings contain, until it
-/// is told to stop and has shut down. Connections to targets are opened by `dialer`.
+/// is told to stop and has shut down. Connections to targets are opened by `dialer`. Entry hosts
+/// load `options` at the start and each time their file changes.
 pub fn run(
     settings: GatewaySettings,
     adapter: Rc<dyn ProtocolAdapter>,
     dialer: Rc<dyn TargetDialer>,
     source: Rc<dyn SettingsSource>,
+    options: OptionsFile,
 ) -> Result<(), RunError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     log::info!(
@@ -63,7 +68,9 @@
     let tasks = LocalSet::new();
     tasks.block_on(&runtime, async move {
         match (settings.caller_address, settings.control_address) {
-            (Some(callers), _) => run_entry(settings, adapter, dialer, source, callers).await,
+            (Some(callers), _) => {
+                run_entry(settings, adapter, dialer, (source, options), callers).await
+            }
             (None, Some(calls)) => run_control(settings, adapter, dialer, source, calls).await,
             (None, None) => Err(RunError::NoListener),
         }
@@ -89,7 +96,11 @@
 }
 
 /// Serves the metrics in the Prometheus text format until the process ends.
-pub(crate) async fn serve_metrics(address: SocketAddr, text: impl Fn() -> String + 'static) {
+pub(crate) async fn serve_metrics(
+    address: SocketAddr,
+    memory: Rc<MemoryGate>,
+    text: impl Fn() -> String + 'static,
+) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
@@ -97,10 +108,12 @@
             return;
         }
     };
-    let handler = Rc::new(move |_request, _peer| {
+    let (shared, group) = (memory.clone(), ConnectionGroup::Checks);
+    let handler = Rc::new(move |_request, _memory| {
+        shared.report();
         let body = Bytes::from(text());
         async move { Response::new(Full::new(body)) }
     });
     let (_open, closing) = watch::channel(false);
-    serve(listener, ConnectionCount::default(), closing, handler).await;
+    serve(listener, ConnectionCount::default(), (memory, group), closing, handler).await;
 }
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use bytes::BytesMut;
 use gw_balance::PathMonitor;
 use gw_daemon::BootClock;
@@ -14,7 +13,6 @@
 use http::Response;
 use http::header;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -26,11 +24,14 @@
 use tokio::time::timeout_at;
 
 use crate::ports::TargetDialer;
+use crate::targets::ConnectionUse;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
+use crate::targets::OutgoingBody;
 use crate::targets::StreamedReply;
 use crate::targets::TargetReply;
 use crate::targets::TargetStream;
+use crate::targets::set_buffer_sizes;
 use crate::targets::set_socket_options;
 use crate::targets::socket_options::reset_on_close;
 
@@ -38,15 +39,21 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Idle time of a pooled connection when the target states none.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(5);
+/// Longest idle time that a target can state, since one near 2^64 seconds exceeds the clock's range.
+/// Far longer than connections stay idle in a pool that is in use.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
 /// Fraction of the idle time stated by the target for which a connection is used.
 const IDLE_TIME_SHARE: f64 = 0.6;
 /// Largest number of idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = 3;
+/// Size of the kernel's buffers of a connection, in bytes: a target that reads slowly and a caller
+/// that does are waited for with no more than this in memory.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub(super) struct TargetConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutgoingBody>,
     driver: JoinHandle<()>,
 }
 
@@ -154,7 +161,9 @@
             self.path.borrow_mut().record_unreachable(BootClock.now(), address);
         })?;
         self.path.borrow_mut().record_connected();
-        let configured = set_socket_options(&stream).and_then(|()| reset_on_close(&stream));
+        let configured = set_socket_options(&stream)
+            .and_then(|()| set_buffer_sizes(&stream, SOCKET_BUFFER_BYTES))
+            .and_then(|()| reset_on_close(&stream));
         configured.map_err(|error| error.to_string())?;
         self.opened.set(self.opened.get() + 1);
         let handshake =
@@ -173,14 +182,17 @@
     pub(crate) async fn exchange(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<OutgoingBody>,
         options: &ExchangeOptions,
         may_send: impl Fn() -> bool,
     ) -> ExchangeOutcome {
         let deadline = options.deadline;
         let mut request = request;
         loop {
-            let pooled = self.take_idle(address, options.max_idle);
+            let pooled = match options.connection {
+                ConnectionUse::Shared { max_idle } => self.take_idle(address, max_idle),
+                ConnectionUse::Exclusive => None,
+            };
             let is_pooled = pooled.is_some();
             let mut connection = match pooled {
                 Some(connection) => connection,
@@ -203,6 +215,10 @@
                 return ExchangeOutcome::NotSent("sending is no longer allowed".to_owned());
             }
             let started = Instant::now();
+            if started >= deadline {
+                // The response could not arrive in time, and the outcome would be unknown.
+                return ExchangeOutcome::NotSent("connected after the deadline".to_owned());
+            }
             self.path.borrow_mut().record_sent(BootClock.now());
             let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
             if sent.is_ok() {
@@ -260,7 +276,9 @@
         });
         let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
-        let idle_time = (!closes && is_framed).then(|| idle_time(&head.headers));
+        let is_shared = options.connection != ConnectionUse::Exclusive;
+        let may_keep = is_shared && !closes && is_framed;
+        let idle_time = may_keep.then(|| idle_time(&head.headers));
         let (received, elapsed) = (received.freeze(), started.elapsed());
         if is_large {
             let (connection, body) = ((connection, idle_time), (received, body, len.is_some()));
@@ -308,6 +326,6 @@
     let parts = value.into_iter().flat_map(|value| value.split(','));
     let mut seconds = parts.filter_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok());
     seconds.next().map_or(DEFAULT_IDLE_TIME, |seconds: u64| {
-        Duration::from_secs(seconds).mul_f64(IDLE_TIME_SHARE)
+        Duration::from_secs(seconds).min(MAX_IDLE_TIME).mul_f64(IDLE_TIME_SHARE)
     })
 }
