perf(gw-gateway): connections for orders are opened ahead

Cause: every order uses a connection of its own. Change: after a grant the next connection to the target is opened in the background. It has carried nothing when it is used, so the rule of one order for each connection holds.

--- a/crates/gw-gateway/src/control/order_delivery.rs
+++ b/crates/gw-gateway/src/control/order_delivery.rs
@@ -146,6 +146,9 @@
     let outcome = reply.outcome;
     let is_reached = matches!(outcome, OrderOutcome::Done { .. } | OrderOutcome::Refused);
     unreachable.record(host.now(), target, is_reached);
+    if is_reached && matches!(order.kind, OrderKind::Grant { .. }) {
+        host.connections.open_ahead(address);
+    }
     if outcome == OrderOutcome::NotSent
         && may_send()
         && let Some(relay) = relays.next()
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -50,6 +50,12 @@
 /// that does are waited for with no more than this in memory.
 const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Time for which a connection that was opened ahead is used. Longer than the time between two
+/// renewals; targets close idle connections after several seconds.
+const AHEAD_TIME: Duration = Duration::from_secs(3);
+/// Largest number of connections that are opened ahead for one target.
+const MAX_AHEAD_PER_TARGET: usize = 3;
+
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub(super) struct TargetConnection {
@@ -91,13 +97,16 @@
 pub(crate) struct TargetConnections {
     dialer: Rc<dyn TargetDialer>,
     idle: Rc<RefCell<Vec<IdleConnection>>>,
+    /// Connections that have carried nothing yet.
+    ahead: Rc<RefCell<Vec<IdleConnection>>>,
     opened: Rc<Cell<u64>>,
     path: Rc<RefCell<PathMonitor>>,
 }
 
 impl TargetConnections {
     pub(crate) fn new(dialer: Rc<dyn TargetDialer>) -> Self {
-        Self { dialer, idle: Rc::default(), opened: Rc::default(), path: Rc::default() }
+        let (idle, ahead) = (Rc::default(), Rc::default());
+        Self { dialer, idle, ahead, opened: Rc::default(), path: Rc::default() }
     }
 
     /// Returns what the exchanges say about this host's path to targets.
@@ -132,6 +141,35 @@
         Some(idle.remove(newest).connection)
     }
 
+    fn take_ahead(&self, address: SocketAddr) -> Option<TargetConnection> {
+        let now = Instant::now();
+        let mut ahead = self.ahead.borrow_mut();
+        ahead.retain(|unused| unused.is_open(now));
+        let newest = ahead.iter().rposition(|unused| unused.address == address)?;
+        Some(ahead.remove(newest).connection)
+    }
+
+    /// Opens a connection for a later exclusive exchange with `address`, in the background.
+    ///
+    /// A target may accept a connection only when one of its slots is free, which takes as long as a
+    /// request does. An order that waited for it would run into its timeout at a busy target.
+    pub(crate) fn open_ahead(&self, address: SocketAddr) {
+        let of_target = |unused: &&IdleConnection| unused.address == address;
+        if self.ahead.borrow().iter().filter(of_target).count() >= MAX_AHEAD_PER_TARGET {
+            return;
+        }
+        let connections = self.clone();
+        spawn_local(async move {
+            // A target that cannot be reached is noticed by the next order.
+            let connected = connections.connect(address, Instant::now() + CONNECT_TIMEOUT).await;
+            let Ok(connection) = connected else { return };
+            let idle_since = Instant::now();
+            let usable_until = idle_since + AHEAD_TIME;
+            let unused = IdleConnection { address, connection, idle_since, usable_until };
+            connections.ahead.borrow_mut().push(unused);
+        });
+    }
+
     pub(super) fn keep(
         &self,
         address: SocketAddr,
@@ -191,7 +229,7 @@
         loop {
             let pooled = match options.connection {
                 ConnectionUse::Shared { max_idle } => self.take_idle(address, max_idle),
-                ConnectionUse::Exclusive => None,
+                ConnectionUse::Exclusive => self.take_ahead(address),
             };
             let is_pooled = pooled.is_some();
             let mut connection = match pooled {
