fix(gw-gateway): targets count as warm while the leader is of an earlier build

Cause: during a rolling upgrade, limits for cold targets come from upgraded followers while the leader gives neither lists nor leases, so that a restarted entry host would send nothing to such services for the warm-up time. The case itself has no test with processes of two builds yet.

--- a/crates/gw-gateway/src/entry/cold_watch.rs
+++ b/crates/gw-gateway/src/entry/cold_watch.rs
@@ -47,6 +47,15 @@
         self.admission_wakeup.notify_one();
     }
 
+    /// Treats all targets as warm: the leader gives no leases.
+    pub(crate) fn ignore_cold_targets(&self) {
+        let mut pool = self.pool.borrow_mut();
+        if pool.has_warm_up_limits() {
+            pool.set_warm_up_limits(Vec::new());
+            log::info!("event=cold_targets_ignored cause=\"the leader is of an earlier build\"");
+        }
+    }
+
     /// Records that the targets of zones whose evacuation has ended may be cold.
     pub(crate) fn record_evacuation_ends(&self, zones: &[ZoneName]) {
         let (now, index) = (self.now(), self.applied());
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -214,7 +214,11 @@
                 }
                 self.check_progress();
             }
-            LinkMessage::ColdTargets(message) => self.host.apply_cold_message(message),
+            LinkMessage::ColdTargets(message) => {
+                if message.is_leader || !self.has_earlier_leader() {
+                    self.host.apply_cold_message(message);
+                }
+            }
             LinkMessage::RunOrder { call, order, address, send_before } => {
                 let send_before = Timestamp::from_nanos(send_before);
                 let host = self.host.clone();
@@ -236,6 +240,9 @@
                 self.host.current_at.set(Some(self.host.now()));
             }
         }
+        if self.has_earlier_leader() {
+            self.host.ignore_cold_targets();
+        }
         if head.is_leader {
             let host_count = usize::try_from(head.host_count).unwrap_or(usize::MAX);
             self.host.record_host_count(host_count);
@@ -273,6 +280,14 @@
         self.check_progress();
     }
 
+    /// Whether the leader is of a build that knows no cold targets and gives no leases for them.
+    fn has_earlier_leader(&self) -> bool {
+        let leads = |link: &ControlLink| link.head.as_ref().is_some_and(|head| head.is_leader);
+        let leader = self.links.iter().filter(|link| leads(link));
+        let leader = leader.max_by_key(|link| link.last_received);
+        leader.is_some_and(|link| !link.link.supports(FormatVersion::EVACUATIONS))
+    }
+
     /// Whether a control host is in contact with a majority and was heard recently.
     fn is_usable(link: &ControlLink, now: Timestamp) -> bool {
         let is_current = link.head.as_ref().is_some_and(|head| head.is_current);
