perf(gw-balance): failed connections make a target suspect only without lists of the leader

Change: failures count once no list has arrived for a second: a host that gets lists learns of a later run from its announcement. A run that started more than 10 s ago is not presumed cold by a host that learns of it.

--- a/crates/gw-balance/src/cold_state.rs
+++ b/crates/gw-balance/src/cold_state.rs
@@ -15,6 +15,13 @@
 /// Time after a failed connection from which a list of the leader says something about the run. The
 /// leader names runs that it has not heard for 1.5 s as unsure; 0.3 s allow for the way to it.
 const FAILURE_MARGIN: Duration = Duration::from_millis(1_800);
+/// Time without a list of the leader from which failed connections count as a sign that the run may
+/// have restarted: four lists are missing. A host that gets lists learns of a later run from its
+/// announcement, and connections break for many other reasons.
+const LIST_GAP: Duration = Duration::from_secs(1);
+/// Age of a run from which it counts as warm unless somebody says otherwise. Longer than warm-up times
+/// and the differences between clocks together.
+const MAX_RECENT_AGE: Duration = Duration::from_secs(10);
 /// Age of a failure from which connections are tried without a request. Lists end nearly all
 /// presumptions before that.
 const PROBE_AGE: Duration = Duration::from_secs(3);
@@ -48,6 +55,8 @@
     /// Until when it is cold according to its own responses.
     stated_until: Timestamp,
     failure: Option<ConnectionFailure>,
+    /// When the last list of the leader arrived; `None` before the first one.
+    list_arrived_at: Option<Timestamp>,
     /// End of the lease for the whole rate of the target.
     leased_until: Timestamp,
     /// Spaces requests under the lease. Outlives it, so that a lease that is regained starts with no
@@ -58,14 +67,16 @@
 }
 
 impl ColdState {
-    /// Creates the state of a run that this host has just learnt of, at log index `index`.
-    pub(crate) fn new(now: Timestamp, index: u64) -> Self {
+    /// Creates the state of a run that this host has just learnt of, at log index `index`. A run that
+    /// started `age` ago may still be cold if that is not long.
+    pub(crate) fn new(now: Timestamp, index: u64, age: Duration) -> Self {
         Self {
             limit: None,
-            learnt: Some((now, index)),
+            learnt: (age < MAX_RECENT_AGE).then_some((now, index)),
             listed_until: Timestamp::ZERO,
             stated_until: Timestamp::ZERO,
             failure: None,
+            list_arrived_at: None,
             leased_until: Timestamp::ZERO,
             pacer: None,
             permits: Vec::new(),
@@ -81,7 +92,8 @@
     pub(crate) fn is_cold(&self, now: Timestamp) -> bool {
         let Some((warm_up, _)) = self.limit else { return false };
         let hold = warm_up + EXTRA_TIME;
-        let is_suspect = self.failure.is_some_and(|failure| {
+        let is_informed = self.list_arrived_at.is_some_and(|at| now.since(at) < LIST_GAP);
+        let is_suspect = self.failure.filter(|_| !is_informed).is_some_and(|failure| {
             failure.reached_at.is_none_or(|reached_at| now < reached_at + hold)
         });
         is_suspect
@@ -97,6 +109,7 @@
 
     /// Applies a list of the leader to the run.
     pub(crate) fn apply(&mut self, now: Timestamp, holder: &RangeHolder, list: &ColdList) {
+        self.list_arrived_at = Some(now);
         if let Some(remaining) = list.remaining(holder) {
             let warm_up = self.limit.map_or(Duration::ZERO, |(warm_up, _)| warm_up);
             self.listed_until = now + remaining.max(warm_up) + EXTRA_TIME;
--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -80,6 +80,8 @@
     load_uses: LoadUses,
     /// Log index of the state that the targets are from.
     state_index: u64,
+    /// Milliseconds since 1970 by this host's clock at the last update of the targets.
+    unix_ms: u64,
     /// Last list of the leader about cold targets, and the limits from any control host.
     cold_list: ColdList,
     /// Sorted by name.
@@ -98,6 +100,7 @@
             host_count: 1,
             load_uses: LoadUses::default(),
             state_index: 0,
+            unix_ms: 0,
             cold_list: ColdList::default(),
             targets: Vec::new(),
             services: Vec::new(),
@@ -114,9 +117,11 @@
         self.host_count = u32::try_from(count).unwrap_or(u32::MAX);
     }
 
-    /// Sets the log index of the state that the next update of the targets comes from.
-    pub fn set_state_index(&mut self, index: u64) {
+    /// Sets the log index of the state that the next update of the targets comes from, and this host's
+    /// time in milliseconds since 1970.
+    pub fn set_state_position(&mut self, index: u64, unix_ms: u64) {
         self.state_index = index;
+        self.unix_ms = unix_ms;
     }
 
     /// Replaces the announced targets, sorted by name, and the preferred targets. The state of a
@@ -134,7 +139,9 @@
             let known_run = known.filter(|target| target.record.run == record.run);
             let mut target = known_run.unwrap_or_else(|| {
                 let spread = FACTOR_SPREAD * host_specific_fraction(&self.host, &record.name);
-                let mut target = TargetView::new(record.clone(), now, self.state_index, spread);
+                let age = Duration::from_millis(self.unix_ms.saturating_sub(record.run));
+                let mut target =
+                    TargetView::new(record.clone(), now, (self.state_index, age), spread);
                 let limit = WarmUpLimit::find(&self.cold_list.limits, &record.service);
                 target.cold.set_limit(limit);
                 target.cold.apply(now, &record.holder(), &self.cold_list);
--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -78,11 +78,12 @@
 }
 
 impl TargetView {
-    /// Creates the view of a run that this host has learnt of by log index `index`.
+    /// Creates the view of a run that this host has learnt of by log index `index`, when the run was
+    /// `age` old.
     pub(crate) fn new(
         record: TargetRecord,
         now: Timestamp,
-        index: u64,
+        (index, age): (u64, Duration),
         factor_spread: f64,
     ) -> Self {
         Self {
@@ -100,7 +101,7 @@
             rests_until: Timestamp::ZERO,
             unreachable_until: Timestamp::ZERO,
             pacer: None,
-            cold: ColdState::new(now, index),
+            cold: ColdState::new(now, index, age),
             load: TargetLoad::default(),
             evacuated_at: None,
             has_ended: false,
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -386,7 +386,7 @@
         let state = self.state();
         let preferred = self.preferred_targets.borrow();
         let mut pool = self.pool.borrow_mut();
-        pool.set_state_index(self.applied());
+        pool.set_state_position(self.applied(), unix_millis());
         pool.update(self.now(), state.targets(), &preferred);
         pool.set_evacuated(&self.evacuated.borrow());
         drop(pool);
