--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -2,7 +2,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gw_balance::AttemptOutcome;
 use gw_balance::TargetLimit;
 use gw_daemon::remove_hop_fields;
@@ -18,7 +17,6 @@
 use http::StatusCode;
 use http::header;
 use http::response;
-use http_body_util::Full;
 use tokio::time::Instant;
 
 use crate::callers::ResponseBody;
@@ -35,6 +33,7 @@
 use crate::targets::ConnectionUse;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
+use crate::targets::OutgoingBody;
 use crate::targets::StreamedReply;
 use crate::targets::TargetReply;
 
@@ -100,6 +99,7 @@
     };
     let max_whole_bytes = match request.rule.repeat {
         RepeatRule::UntilFirstByte => MAX_WHOLE_DOWNLOAD_BYTES,
+        _ if !host.memory.has_room_for_responses() => MAX_WHOLE_DOWNLOAD_BYTES,
         RepeatRule::Idempotent | RepeatRule::AtMostOnce => MAX_WHOLE_BYTES,
     };
     let connection = ConnectionUse::Shared { max_idle };
@@ -252,7 +252,7 @@
     request: &ReadRequest,
     target: &TargetName,
     remaining: Duration,
-) -> Request<Full<Bytes>> {
+) -> Request<OutgoingBody> {
     let mut outgoing = copy_request(request);
     let metadata = AttemptMetadata { target: target.clone(), remaining };
     host.adapter.write_attempt_metadata(outgoing.headers_mut(), &metadata);
@@ -272,8 +272,8 @@
 
 /// Returns a request to another server, with the caller's headers that are not about one
 /// connection.
-pub(crate) fn copy_request(request: &ReadRequest) -> Request<Full<Bytes>> {
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+pub(crate) fn copy_request(request: &ReadRequest) -> Request<OutgoingBody> {
+    let mut outgoing = Request::new(OutgoingBody::from(request.body.clone()));
     *outgoing.method_mut() = request.head.method.clone();
     *outgoing.uri_mut() = origin_form(&request.head.uri);
     let headers = outgoing.headers_mut();
