test(gw-ranges): a later run of a target gets a higher token than its earlier run had

Cause: the property was relied upon but not tested. Change: a table of restarts: released, release or grant not answered, release not sent, new leader.

--- a/crates/gw-ranges/tests/range_granter.rs
+++ b/crates/gw-ranges/tests/range_granter.rs
@@ -270,3 +270,51 @@
         assert_eq!(harness.holder_name(), case.holder, "{}: table", case.name);
     }
 }
+
+struct RestartCase {
+    name: &'static str,
+    /// Outcome of the last grants to the earlier run, and of its release.
+    last_grants: OrderOutcome,
+    release: OrderOutcome,
+    has_new_leader: bool,
+}
+
+/// Guards against a later run of a target that gets a token which its earlier run had: the target
+/// could take a repeated order meant for the earlier run for its own grant.
+#[test]
+fn later_runs_get_higher_tokens() {
+    let done = || OrderOutcome::Done { handover: None };
+    let case = |name, last_grants, release, has_new_leader| RestartCase {
+        name,
+        last_grants,
+        release,
+        has_new_leader,
+    };
+    let cases = [
+        case("released", done(), done(), false),
+        case("the release is not answered", done(), OrderOutcome::Unanswered, false),
+        case("a grant is uncertain", OrderOutcome::Unanswered, done(), false),
+        case("the release cannot be sent", OrderOutcome::NotSent, OrderOutcome::NotSent, false),
+        case("a new leader", done(), done(), true),
+    ];
+    for case in cases {
+        let mut harness = Harness::new(vec![candidate("t1", HolderStatus::Serving)]);
+        harness.run(Duration::from_secs(3), |_| done());
+        harness.run(Duration::from_secs(1), |_| case.last_grants.clone());
+        harness.candidates[0].holder.run = 2;
+        if case.has_new_leader {
+            let service = ServiceName::new("slips").expect("a valid name");
+            harness.granter = RangeGranter::new(service, GranterOptions::default(), harness.now);
+        }
+        harness.run(Duration::from_secs(15), |order| match (order.holder.run, &order.kind) {
+            (1, OrderKind::Release) => case.release.clone(),
+            _ => done(),
+        });
+        let fences = |run: u64| {
+            let of_run = harness.sent.iter().filter(move |order| order.holder.run == run);
+            of_run.map(|order| order.fence)
+        };
+        let (highest, lowest) = (fences(1).max(), fences(2).min());
+        assert!(highest.is_some() && lowest > highest, "{}: {highest:?} {lowest:?}", case.name);
+    }
+}
