--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -11,10 +11,14 @@
 
 use crate::AnsweredRequests;
 use crate::AttemptOutcome;
+use crate::ColdList;
 use crate::EvacuatedZones;
 use crate::LimitTable;
+use crate::LoadUses;
 use crate::PreferredTargets;
+use crate::ReportedLoad;
 use crate::TargetView;
+use crate::WarmUpLimit;
 use crate::service_targets::ServiceTargets;
 
 /// Response time in seconds that is assumed for a service without recent responses.
@@ -26,6 +30,9 @@
 const PREFERRED_EXTRA_REQUESTS: u32 = 1;
 /// Requests that this host may have in flight at a target that it does not prefer.
 const OTHER_TARGET_LIMIT: u32 = 1;
+/// Requests that this host may have in flight at a target that has not responded to it, if targets of
+/// the service can be cold: the first response shows how fast it is.
+const UNTRIED_TARGET_LIMIT: u32 = 1;
 /// Smallest cost factor of targets that other hosts of the zone prefer.
 const MIN_OTHER_TARGET_FACTOR: f64 = 1.2;
 /// Smallest cost factor of targets in other zones. Equals the largest one within the zone, so that
@@ -49,7 +56,7 @@
 pub enum HolderAvailability {
     /// It can accept a request.
     Available,
-    /// This host's limit of requests in flight is reached.
+    /// This host's limit of requests in flight is reached, or the target has stated that it is full.
     Busy,
     /// It is paused after failures or a refusal.
     Paused,
@@ -69,6 +76,12 @@
     preferred: PreferredTargets,
     /// Number of entry hosts in all zones.
     host_count: u32,
+    /// Uses of the loads that targets state.
+    load_uses: LoadUses,
+    /// Log index of the state that the targets are from.
+    state_index: u64,
+    /// Last list of the leader about cold targets, and the limits from any control host.
+    cold_list: ColdList,
     /// Sorted by name.
     targets: Vec<TargetView>,
     /// The targets by service, sorted by service.
@@ -83,16 +96,29 @@
             zone,
             preferred: PreferredTargets::default(),
             host_count: 1,
+            load_uses: LoadUses::default(),
+            state_index: 0,
+            cold_list: ColdList::default(),
             targets: Vec::new(),
             services: Vec::new(),
         }
     }
 
+    /// Sets which uses are made of the loads that targets state.
+    pub fn set_load_uses(&mut self, uses: LoadUses) {
+        self.load_uses = uses;
+    }
+
     /// Sets the number of entry hosts in all zones.
     pub fn set_host_count(&mut self, count: usize) {
         self.host_count = u32::try_from(count).unwrap_or(u32::MAX);
     }
 
+    /// Sets the log index of the state that the next update of the targets comes from.
+    pub fn set_state_index(&mut self, index: u64) {
+        self.state_index = index;
+    }
+
     /// Replaces the announced targets, sorted by name, and the preferred targets. The state of a
     /// run is kept as long as the run is announced.
     pub fn update(
@@ -108,7 +134,11 @@
             let known_run = known.filter(|target| target.record.run == record.run);
             let mut target = known_run.unwrap_or_else(|| {
                 let spread = FACTOR_SPREAD * host_specific_fraction(&self.host, &record.name);
-                TargetView::new(record.clone(), now, spread)
+                let mut target = TargetView::new(record.clone(), now, self.state_index, spread);
+                let limit = WarmUpLimit::find(&self.cold_list.limits, &record.service);
+                target.cold.set_limit(limit);
+                target.cold.apply(now, &record.holder(), &self.cold_list);
+                target
             });
             target.update_record(record, now);
             self.targets.push(target);
@@ -241,12 +271,17 @@
                 && !tried.contains(&target.record.name)
                 && is_usable(target)
         });
-        let cost = |target: &TargetView| target.cost(now, typical, OTHER_ZONE_PENALTY_SECONDS);
+        let uses_load = self.load_uses.choice;
+        let cost =
+            |target: &TargetView| target.cost(now, typical, OTHER_ZONE_PENALTY_SECONDS, uses_load);
         let ranked = available.map(|target| (cost(target), target));
         ranked.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, target)| target)
     }
 
     fn in_flight_limit(&self, target: &TargetView) -> u32 {
+        if target.cold.is_limited() && target.responded_at == Timestamp::ZERO {
+            return UNTRIED_TARGET_LIMIT;
+        }
         let slots = u32::from(target.record.work_slots);
         if target.is_preferred || self.preferred.is_empty() {
             slots + PREFERRED_EXTRA_REQUESTS
@@ -271,7 +306,8 @@
         if !target.limit_wait(now).is_zero() {
             return HolderAvailability::Limited;
         }
-        if target.in_flight < self.holder_limit(target) {
+        let is_full = target.load.is_full(now, target.in_flight, MIN_TARGET_QUEUE);
+        if target.in_flight < self.holder_limit(target) && !(self.load_uses.admission && is_full) {
             HolderAvailability::Available
         } else {
             HolderAvailability::Busy
@@ -355,6 +391,100 @@
         }
     }
 
+    /// Sets the limits of services for cold targets, sorted by service.
+    pub fn set_warm_up_limits(&mut self, limits: Vec<WarmUpLimit>) {
+        self.cold_list.limits = limits;
+        for target in &mut self.targets {
+            let limit = WarmUpLimit::find(&self.cold_list.limits, &target.record.service);
+            target.cold.set_limit(limit);
+        }
+    }
+
+    /// Applies a list of the leader about cold targets.
+    pub fn apply_cold_list(&mut self, now: Timestamp, mut list: ColdList) {
+        self.set_warm_up_limits(std::mem::take(&mut list.limits));
+        for target in &mut self.targets {
+            target.cold.apply(now, &target.record.holder(), &list);
+        }
+        // Leases are counted once, and runs that are not known yet get theirs with the next list.
+        list.leases.clear();
+        self.cold_list = ColdList { limits: std::mem::take(&mut self.cold_list.limits), ..list };
+    }
+
+    /// Returns whether requests to cold targets of any service are limited.
+    pub fn has_warm_up_limits(&self) -> bool {
+        !self.cold_list.limits.is_empty()
+    }
+
+    /// Records that the evacuation of a zone has ended at log index `index`: its targets may be cold.
+    pub fn record_evacuation_end(&mut self, now: Timestamp, zone: &ZoneName, index: u64) {
+        for target in self.targets.iter_mut().filter(|target| target.record.zone == *zone) {
+            target.cold.record_doubt(now, index);
+        }
+    }
+
+    /// Records what a target said about itself: for how long it stays cold. Returns whether it is
+    /// news that it is cold.
+    pub fn record_warmth(
+        &mut self,
+        now: Timestamp,
+        holder: &RangeHolder,
+        remaining: Duration,
+    ) -> bool {
+        self.target_mut(holder).is_some_and(|target| target.cold.record_statement(now, remaining))
+    }
+
+    /// Records that a connection to a target was established without a request.
+    pub fn record_reached(&mut self, now: Timestamp, holder: &RangeHolder) {
+        if let Some(target) = self.target_mut(holder) {
+            target.cold.record_reached(now);
+        }
+    }
+
+    /// Records, while no list of the leader arrives, that this host has no connection to the targets
+    /// for which `is_connected` does not hold: they may have restarted unnoticed.
+    pub fn record_unconnected(
+        &mut self,
+        now: Timestamp,
+        is_connected: impl Fn(&TargetView) -> bool,
+    ) {
+        for target in &mut self.targets {
+            if target.in_flight == 0 && !is_connected(target) {
+                target.cold.record_unconnected(now);
+            }
+        }
+    }
+
+    /// Returns the targets to which a connection without a request is due, which shows whether they
+    /// can be reached again, and counts them as tried.
+    pub fn take_cold_probes(&mut self, now: Timestamp) -> Vec<TargetRecord> {
+        let due = self.targets.iter_mut().filter_map(|target| {
+            let is_due = target.is_serving() && target.cold.take_probe(now);
+            is_due.then(|| target.record.clone())
+        });
+        due.collect()
+    }
+
+    /// Returns the runs that are presumed cold, sorted, and whether this host has the lease for the
+    /// whole rate of each.
+    pub fn cold_runs(&self, now: Timestamp) -> Vec<(RangeHolder, bool)> {
+        let cold = self.targets.iter().filter(|target| target.is_cold(now));
+        cold.map(|target| (target.record.holder(), target.cold.is_sponsored(now))).collect()
+    }
+
+    /// Returns whether a run is presumed cold.
+    pub fn is_cold(&self, now: Timestamp, holder: &RangeHolder) -> bool {
+        self.live_target(holder).is_some_and(|target| target.is_cold(now))
+    }
+
+    /// Returns the shortest time between two requests of this host to a target of `service`, if all of
+    /// those that accept new requests are presumed cold.
+    pub fn cold_interval(&self, now: Timestamp, service: &ServiceName) -> Option<Duration> {
+        let serving = || self.targets_of(service).filter(|target| target.is_serving());
+        let is_cold = serving().all(|target| target.is_cold(now));
+        serving().map(|target| target.limit_interval(now)).min().filter(|_| is_cold)
+    }
+
     /// Records that a request is sent to a target.
     pub fn record_start(&mut self, now: Timestamp, holder: &RangeHolder) {
         if let Some(target) = self.target_mut(holder) {
@@ -376,6 +506,25 @@
         self.target_mut(holder).is_some_and(|target| target.record_rest(now, rest))
     }
 
+    /// Records the load that a target has stated in a response, before the end of the request is
+    /// recorded.
+    pub fn record_load(&mut self, now: Timestamp, holder: &RangeHolder, load: &ReportedLoad) {
+        if let Some(target) = self.target_mut(holder) {
+            let own = target.in_flight.saturating_sub(1);
+            target.load.record(now, load, own, target.factor_spread);
+        }
+    }
+
+    /// Returns the processing times that targets have stated since the last call, as multiples of the
+    /// usual ones.
+    pub fn take_paces(&mut self) -> Vec<(RangeHolder, f64)> {
+        let is_used = self.load_uses.speed;
+        let targets = self.targets.iter_mut().filter(|_| is_used);
+        targets
+            .filter_map(|target| Some((target.record.holder(), target.load.take_pace()?)))
+            .collect()
+    }
+
     /// Records that a target has said to this host that it leaves. Returns whether that is news.
     pub fn record_leaving(&mut self, now: Timestamp, holder: &RangeHolder) -> bool {
         self.target_mut(holder).is_some_and(|target| target.record_leaving(now))
--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -135,6 +135,10 @@
     if !is_newest {
         return ControlReply::Accepted;
     }
+    // The leader learns of it before the record of a new run, which may go to it over the same
+    // connection.
+    host.update_warm_up_limits();
+    host.record_warmth(&announcement.record.holder(), announcement.warm_up_left, Duration::ZERO);
     let name = announcement.record.name.clone();
     let is_known = {
         let log = host.log.borrow();
--- a/crates/gw-gateway/src/control/mod.rs
+++ b/crates/gw-gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod call_body;
 mod call_handler;
+mod cold_targets;
 mod control_host;
 mod fleet_log;
 mod granter_set;
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -142,6 +142,9 @@
                     self.run_replacements.borrow_mut().record(self.now(), record.holder());
                 }
             }
+            if let FleetCommand::EndEvacuation { zone } = command {
+                self.record_evacuation_end(zone);
+            }
             log_applied(index, command, outcome);
         }
         let mut commands = self.pending_commands.borrow_mut();
@@ -202,6 +205,7 @@
         let event = if is_leader { "leads_control" } else { "left_control" };
         log::info!("event={event} term={term}");
         self.granters.borrow_mut().restart();
+        self.restart_cold_duty();
         self.monitor.borrow_mut().restart(self.now());
         self.first_seen.borrow_mut().clear();
         if !is_leader {
--- a/crates/gw-gateway/src/control/target_monitor.rs
+++ b/crates/gw-gateway/src/control/target_monitor.rs
@@ -3,6 +3,7 @@
 
 use gw_balance::LimitTable;
 use gw_balance::TargetLimit;
+use gw_balance::WarmthTable;
 use gw_fleet::DepartureCause;
 use gw_fleet::FleetState;
 use gw_fleet::TargetPhase;
@@ -12,6 +13,7 @@
 use gw_ranges::ProcessingTimeEstimator;
 use gw_ranges::RangeCandidate;
 use gw_ranges::RangeHolder;
+use gw_ranges::StatedPace;
 use gw_types::ServiceName;
 use gw_types::TargetName;
 use gw_types::Timestamp;
@@ -54,6 +56,10 @@
     acceptance: BTreeMap<RangeHolder, AcceptanceEstimator>,
     /// Limits on the rate of requests that targets have named, as reported by entry hosts.
     limits: LimitTable,
+    /// Processing times that targets have stated, from the reports of entry hosts.
+    paces: BTreeMap<RangeHolder, StatedPace>,
+    /// Which targets are cold, from their announcements and responses.
+    pub(crate) warmth: WarmthTable,
     /// Start of the observation. A target that was not heard since then counts as heard at this
     /// time.
     started_at: Timestamp,
@@ -126,6 +132,21 @@
         acceptance.record_turned_away(now, report.rests, rest, host_count, answered);
     }
 
+    /// Records the processing time, in percent of the usual one, that a target has stated to an entry
+    /// host.
+    pub(crate) fn record_pace(
+        &mut self,
+        now: Timestamp,
+        state: &FleetState,
+        holder: &RangeHolder,
+        percent: u16,
+    ) {
+        if state.live_target(holder).is_none() || percent == 0 {
+            return;
+        }
+        self.paces.entry(holder.clone()).or_default().record(now, f64::from(percent) / 100.0);
+    }
+
     /// Records what a target said to an entry host about the rate of requests that it takes. Returns
     /// whether its limit has changed.
     pub(crate) fn record_limit(&mut self, limit: TargetLimit) -> bool {
@@ -157,6 +178,7 @@
         self.contacts.retain(|name, _| state.target(name).is_some());
         self.estimators.retain(|holder, _| state.live_target(holder).is_some());
         self.acceptance.retain(|holder, _| state.live_target(holder).is_some());
+        self.paces.retain(|holder, _| state.live_target(holder).is_some());
         self.limits.expire(now, |holder| state.live_target(holder).is_some());
     }
 
@@ -204,6 +226,9 @@
             (TargetPhase::Serving, true) if is_silent => HolderStatus::Draining,
             (TargetPhase::Serving, true) => HolderStatus::Evacuated,
             (TargetPhase::Serving, false) if is_silent => HolderStatus::Silent,
+            (TargetPhase::Serving, false) if self.warmth.cold_rate(now, target).is_some() => {
+                HolderStatus::Cold
+            }
             (TargetPhase::Serving, false) => HolderStatus::Serving,
         }
     }
@@ -215,7 +240,8 @@
         estimator.processing_time(now).filter(|time| *time > 0.0)
     }
 
-    /// Returns the number of requests per second that a holder can process, if known.
+    /// Returns the number of requests per second that a holder can process, if known. `None` for cold
+    /// holders, which get requests only by permits.
     pub(crate) fn capacity(
         &self,
         now: Timestamp,
@@ -223,6 +249,9 @@
         holder: &RangeHolder,
     ) -> Option<f64> {
         let target = state.live_target(holder)?;
+        if self.warmth.cold_rate(now, target).is_some() {
+            return None;
+        }
         Some(f64::from(target.work_slots.max(1)) / self.processing_time(now, target)?)
     }
 
@@ -243,13 +272,19 @@
     fn speed(&self, now: Timestamp, target: &TargetRecord, typical: Option<f64>) -> f64 {
         let own = self.processing_time(now, target);
         let speed = own.zip(typical).map_or(1.0, |(own, typical)| typical / own);
+        let pace = self.paces.get(&target.holder());
+        let speed = pace.map_or(speed, |pace| pace.limit(now, speed));
         let speed = speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
         let acceptance = self.acceptance.get(&target.holder());
         let taken = acceptance.map_or(1.0, |acceptance| acceptance.fraction(now));
         let speed = if taken < 1.0 { (speed * taken).max(MIN_LIMITED_SPEED) } else { speed };
         let limit = self.limits.find(&target.name, target.run);
         let limit = limit.filter(|limit| now.since(limit.stated_at) < MAX_LIMIT_AGE);
-        let Some(per_second) = limit.and_then(|limit| limit.per_second) else { return speed };
+        let named = limit.and_then(|limit| limit.per_second);
+        let limits = [named, self.warmth.cold_rate(now, target)];
+        let Some(per_second) = limits.into_iter().flatten().min_by(f64::total_cmp) else {
+            return speed;
+        };
         let typical = typical.unwrap_or(DEFAULT_PROCESSING_SECONDS);
         let limited = per_second * typical / f64::from(target.work_slots.max(1));
         speed.min(limited.max(MIN_LIMITED_SPEED))
--- a/crates/gw-gateway/src/entry/admission.rs
+++ b/crates/gw-gateway/src/entry/admission.rs
@@ -40,6 +40,8 @@
 /// Longest `Retry-After` of a request refused under load.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Reason of a refusal: the only targets that the request may be sent to are cold.
+const TARGET_COLD: &str = "target_cold";
 /// Largest body, in bytes, of a request that no target takes only if none has capacity. A larger one
 /// may have to wait for the bytes that are in flight at targets.
 const SMALL_BODY_BYTES: usize = 64 * 1024;
@@ -75,7 +77,11 @@
         (holder, address): (RangeHolder, SocketAddr),
         body_bytes: usize,
     ) -> Self {
-        host.pool.borrow_mut().record_start(host.now(), &holder);
+        let now = host.now();
+        let mut pool = host.pool.borrow_mut();
+        host.metrics.cold_requests.inc_by(u64::from(pool.is_cold(now, &holder)));
+        pool.record_start(now, &holder);
+        drop(pool);
         host.sent_bytes.borrow_mut().record_start(&holder.target, body_bytes);
         let outcome = AttemptOutcome::Cancelled;
         Self { host: host.clone(), holder, address, body_bytes, outcome }
@@ -136,6 +142,7 @@
     let max_wait = max_wait(host, now, params);
     let wait = match estimate_wait(host, now, params) {
         WaitEstimate::Refused { reason, retry_after } => {
+            host.metrics.cold_refusals.inc_by(u64::from(reason == TARGET_COLD));
             return Err(LocalReply::not_executed(reason, retry_after));
         }
         WaitEstimate::Wait(wait) => wait,
@@ -283,7 +290,9 @@
         if capacity == 0
             && let Some(wait) = pool.limit_wait(now, &params.service)
         {
-            return wait_for_limit(wait);
+            let interval = pool.cold_interval(now, &params.service);
+            let turns = interval.map_or(Duration::ZERO, |interval| interval.mul_f64(ahead));
+            return wait_for_limit(wait + turns, interval.is_some());
         }
         let capacity = f64::from(capacity.max(1));
         return WaitEstimate::Wait(Duration::from_secs_f64(
@@ -325,8 +334,9 @@
         (Some(HolderAvailability::Limited), Some(target)) => {
             let ahead = count_ahead_in_range(&host.queue.borrow(), params, assignment.range);
             let turns = u32::try_from(ahead).unwrap_or(u32::MAX);
-            let interval = target.limit_interval();
-            wait_for_limit(target.limit_wait(now) + interval.saturating_mul(turns))
+            let interval = target.limit_interval(now);
+            let wait = target.limit_wait(now) + interval.saturating_mul(turns);
+            wait_for_limit(wait, target.is_cold(now))
         }
         (Some(HolderAvailability::Paused), Some(_)) => {
             WaitEstimate::Refused { reason: "holder_fails", retry_after: MOVE_RETRY_AFTER }
@@ -336,12 +346,13 @@
 }
 
 /// Returns the estimate for a request that has to wait until the limit of a target allows it.
-fn wait_for_limit(wait: Duration) -> WaitEstimate {
+fn wait_for_limit(wait: Duration, is_cold: bool) -> WaitEstimate {
     if wait <= MAX_LIMIT_WAIT {
         return WaitEstimate::Wait(wait);
     }
     let retry_after = wait.clamp(MOVE_RETRY_AFTER, MAX_RETRY_AFTER);
-    WaitEstimate::Refused { reason: "target_limited", retry_after }
+    let reason = if is_cold { TARGET_COLD } else { "target_limited" };
+    WaitEstimate::Refused { reason, retry_after }
 }
 
 /// Admits queued requests for which a target has capacity, each time something has changed that may
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -8,10 +8,12 @@
 use gw_dispatch::QuarantineEntry;
 use gw_fleet::ControlChoice;
 use gw_fleet::FleetState;
+use gw_fleet::FormatVersion;
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
 use gw_ranges::OrderKind;
+use gw_ranges::RangeHolder;
 use gw_ranges::TargetOrder;
 use gw_types::Timestamp;
 use gw_types::ZoneName;
@@ -212,6 +214,7 @@
                 }
                 self.check_progress();
             }
+            LinkMessage::ColdTargets(message) => self.host.apply_cold_message(message),
             LinkMessage::RunOrder { call, order, address, send_before } => {
                 let send_before = Timestamp::from_nanos(send_before);
                 let host = self.host.clone();
@@ -363,6 +366,8 @@
         self.check_progress();
         self.host.log_stopped_zones();
         self.report();
+        self.host.log_cold_targets();
+        self.host.probe_cold_targets();
         if self.host.now().since(self.shares_received_at) > MAX_SHARES_AGE {
             self.host.throttle.borrow_mut().update(Vec::new(), 0.0);
         }
@@ -403,6 +408,18 @@
                 base.clone()
             };
             link.link.send(&LinkMessage::Report(report));
+            if is_leader && link.link.supports(FormatVersion::EVACUATIONS) {
+                let paces = self.host.pool.borrow_mut().take_paces();
+                let percent = |(holder, pace): (RangeHolder, f64)| (holder, (pace * 100.0) as u16);
+                let percents: Vec<_> = paces.into_iter().map(percent).collect();
+                if !percents.is_empty() {
+                    link.link.send(&LinkMessage::TargetPaces { percents });
+                }
+                let reports = self.host.take_warmth_reports();
+                if !reports.is_empty() {
+                    link.link.send(&LinkMessage::Warmth { reports });
+                }
+            }
         }
     }
 
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -11,6 +11,7 @@
 use gw_balance::HostCount;
 use gw_balance::LearningTime;
 use gw_balance::LimitTable;
+use gw_balance::LoadUses;
 use gw_balance::PreferredTargets;
 use gw_balance::RequestQueue;
 use gw_balance::SentBytes;
@@ -42,6 +43,7 @@
 use crate::GatewaySettings;
 use crate::entry::admission::AdmissionParams;
 use crate::entry::admission::SendPermit;
+use crate::entry::cold_watch::ColdWatch;
 use crate::entry::relay_hosts::RelayHosts;
 use crate::entry::transfer_gate::TransferGate;
 use crate::gateway_metrics::GatewayMetrics;
@@ -102,6 +104,7 @@
     pub(crate) named_limits: RefCell<LimitTable>,
     /// Those that targets have named to any host.
     limits: RefCell<LimitTable>,
+    pub(crate) cold: ColdWatch,
     /// Number of hosts among which these limits are divided.
     sharing_hosts: Cell<HostCount>,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<SendPermit>>>,
@@ -154,7 +157,8 @@
         let transfers = TransferGate::new(settings.link_rate);
         let metrics = Rc::new(GatewayMetrics::default());
         let memory = MemoryGate::new(&settings, MEMORY_SHARE, SOCKET_BUFFER_BYTES, metrics.clone());
-        let pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
+        let mut pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
+        pool.set_load_uses(LoadUses::default());
         Rc::new(Self {
             settings: RefCell::new(settings),
             adapter,
@@ -173,6 +177,7 @@
             throttle: RefCell::default(),
             named_limits: RefCell::default(),
             limits: RefCell::default(),
+            cold: ColdWatch::default(),
             sharing_hosts: Cell::default(),
             waiters: RefCell::default(),
             connections: TargetConnections::new(dialer.clone()),
@@ -381,6 +386,7 @@
         let state = self.state();
         let preferred = self.preferred_targets.borrow();
         let mut pool = self.pool.borrow_mut();
+        pool.set_state_index(self.applied());
         pool.update(self.now(), state.targets(), &preferred);
         pool.set_evacuated(&self.evacuated.borrow());
         drop(pool);
@@ -460,6 +466,7 @@
         if !changes.started.is_empty() || !changes.ended.is_empty() {
             self.pool.borrow_mut().set_evacuated(&zones);
         }
+        self.record_evacuation_ends(&changes.ended);
         self.metrics.evacuated_zones.set(zones.len() as i64);
     }
 
--- a/crates/gw-gateway/src/entry/hedged_attempt.rs
+++ b/crates/gw-gateway/src/entry/hedged_attempt.rs
@@ -145,7 +145,13 @@
     if !host.may_send(params) || host.connections.path().is_lost() {
         return denied("denied_path");
     }
-    let tried = [tried, std::slice::from_ref(first_target)].concat();
+    let mut tried = [tried, std::slice::from_ref(first_target)].concat();
+    {
+        // What cold targets sustain is left to first attempts.
+        let pool = host.pool.borrow();
+        let cold = pool.targets_of(service).filter(|target| target.is_cold(now));
+        tried.extend(cold.map(|target| target.record.name.clone()));
+    }
     let Some(permit) = admit_now(host, params, &tried) else {
         return denied("denied_target");
     };
--- a/crates/gw-gateway/src/link/link_message.rs
+++ b/crates/gw-gateway/src/link/link_message.rs
@@ -21,6 +21,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::link::ColdMessage;
+use crate::link::WarmthReport;
+
 /// Identifies a call among those of its sender.
 pub(crate) type CallId = u64;
 
@@ -258,4 +261,13 @@
         #[serde(with = "gw_types::raw_bytes")]
         bytes: Vec<u8>,
     },
+    /// Tells the leader for how long targets stay cold. Only for hosts that support
+    /// [`gw_fleet::FormatVersion::EVACUATIONS`].
+    Warmth { reports: Vec<WarmthReport> },
+    /// See [`ColdMessage`]. Only for hosts that support
+    /// [`gw_fleet::FormatVersion::EVACUATIONS`].
+    ColdTargets(ColdMessage),
+    /// Processing times that targets have stated to an entry host, in percent of the usual ones. Only
+    /// for leaders that support [`gw_fleet::FormatVersion::EVACUATIONS`].
+    TargetPaces { percents: Vec<(RangeHolder, u16)> },
 }
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -1,5 +1,6 @@
 //! Connections between hosts, which carry length-prefixed postcard frames over TCP.
 
+mod cold_message;
 mod dialed_peers;
 #[cfg(test)]
 #[path = "../../tests/link/earlier_frames.rs"]
@@ -15,6 +16,10 @@
 mod link_message;
 mod link_task;
 
+pub(crate) use cold_message::ColdMessage;
+pub(crate) use cold_message::GrantReport;
+pub(crate) use cold_message::LeaseReport;
+pub(crate) use cold_message::WarmthReport;
 pub(crate) use dialed_peers::DialedPeers;
 pub(crate) use frame_budget::FrameBudget;
 pub(crate) use frame_queue::FrameQueue;
--- a/crates/gw-ranges/src/range_granter.rs
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -458,7 +458,10 @@
             let status = status_of(&lease.holder, candidates);
             let is_responsive = matches!(
                 status,
-                HolderStatus::Serving | HolderStatus::Draining | HolderStatus::Evacuated
+                HolderStatus::Serving
+                    | HolderStatus::Cold
+                    | HolderStatus::Draining
+                    | HolderStatus::Evacuated
             );
             is_responsive
                 && lease.consecutive_failures == 0
