--- a/crates/gw-agreement/src/leader_replication.rs
+++ b/crates/gw-agreement/src/leader_replication.rs
@@ -11,14 +11,11 @@
 use crate::ReplicaNode;
 use crate::ReplicaOptions;
 use crate::leader_state::LeaderState;
+use crate::member_progress::MAX_REPEATED_BYTES;
 use crate::member_progress::MemberProgress;
 use crate::member_progress::SentBatch;
 use crate::member_progress::SnapshotTransfer;
 
-/// Maximum size of the entries that are sent to a member whose log may not match, in bytes. They are
-/// repeated with each heartbeat until it responds, so that they must not fill a slow link.
-const MAX_PROBE_BYTES: usize = 16 * 1024;
-
 /// Replication on the leader.
 impl ReplicaNode {
     /// Returns the latest time such that a majority, this replica included, has responded to a
@@ -64,16 +61,15 @@
         }
     }
 
-    /// Sends the next batch or, while earlier data is on its way, a message without data, so that a
-    /// slow link is not filled with more than the member has asked for. Data that should have arrived
-    /// by now is sent again.
+    /// Sends the next batch or chunk or, while much earlier data is on its way, a message without
+    /// data, so that a slow link is not filled with repetitions. Data that should have arrived by now
+    /// is sent again.
     fn send_heartbeat(&mut self, now: Timestamp, host: HostId) {
         let Some(member) = self.role.leader_state_mut().and_then(|s| s.member_mut(host)) else {
             return;
         };
         member.check_loss(now);
-        member.probe_sent = false;
-        if member.has_data_in_flight() {
+        if member.has_much_in_flight() {
             self.send_keep_alive(now, host);
         } else if member.snapshot.is_some() {
             self.send_snapshot_chunk(now, host);
@@ -188,11 +184,13 @@
             return;
         };
         let entries = match member.probing {
+            true if member.probe_sent => Vec::new(),
             true => {
                 member.probe_sent = true;
-                let limit = MAX_PROBE_BYTES.min(self.options.max_batch_bytes);
+                let limit = MAX_REPEATED_BYTES.min(self.options.max_batch_bytes);
                 let mut entries = self.log.batch(from, self.log.last_index(), limit);
                 entries.retain(|entry| entry.size_bytes() <= limit);
+                member.next_index = LogIndex(from.0 + entries.len() as u64);
                 entries
             }
             false => {
--- a/crates/gw-agreement/src/member_progress.rs
+++ b/crates/gw-agreement/src/member_progress.rs
@@ -7,13 +7,16 @@
 use crate::LogIndex;
 use crate::Snapshot;
 
-/// Rate below which a member's link is not expected to be, in bytes per millisecond (4 Mbit/s). Data
-/// that takes longer to arrive counts as lost. A fortieth of the slowest link of a control host, on
-/// which other traffic competes.
-const SLOWEST_RATE: u64 = 500;
+/// Rate below which a member's link is not expected to be, in bytes per millisecond (1.6 Mbit/s).
+/// Data that takes longer to arrive counts as lost. A hundredth of the slowest link of a control
+/// host, on which other traffic competes.
+const SLOWEST_RATE: u64 = 200;
 /// Time in addition to the transmission after which data counts as lost: several round trips and
 /// syncs. The loss of a connection is reported earlier; this is for messages that a receiver drops.
-const MIN_LOSS_WAIT: Duration = Duration::from_secs(1);
+const MIN_LOSS_WAIT: Duration = Duration::from_millis(500);
+/// Maximum size of entries, in bytes, that are sent to a member whose log may not match, and whose
+/// loss is looked for with each heartbeat: few enough that repetitions do not fill a slow link.
+pub(crate) const MAX_REPEATED_BYTES: usize = 16 * 1024;
 /// Number of times that the time to wait before data is sent again is doubled, so that a link slower
 /// than [`SLOWEST_RATE`] is not filled with repetitions.
 const MAX_DOUBLINGS: u32 = 3;
@@ -28,10 +31,11 @@
     pub(crate) next_index: LogIndex,
     /// Batches that are not yet acknowledged, oldest first. Empty while `probing`.
     pub(crate) in_flight: VecDeque<SentBatch>,
-    /// Set until the member confirms that its log matches up to `next_index`. Until then it is sent
-    /// only small batches, which do not count as in flight: it would reject most of them.
+    /// Set until a message is accepted. Until then the member is sent only small batches, which do not
+    /// count as in flight: it would reject most of those that follow a rejected one.
     pub(crate) probing: bool,
-    /// Whether a small batch was sent since the last heartbeat or rejection.
+    /// Whether a small batch was sent since `probing` was set or the last rejection. Heartbeats carry
+    /// no entries meanwhile.
     pub(crate) probe_sent: bool,
     /// When the oldest data in flight was sent, or the member last acknowledged some of it.
     progress_at: Timestamp,
@@ -87,8 +91,7 @@
         self.match_index = self.match_index.max(match_index);
         self.next_index = self.next_index.max(self.match_index.next());
         while self.in_flight.pop_front_if(|batch| batch.last_index <= match_index).is_some() {}
-        // A response to an earlier message does not confirm more than it did then.
-        self.probing &= match_index.next() < self.next_index;
+        self.probing = false;
         self.snapshot.take_if(|transfer| transfer.snapshot.meta.index <= self.match_index);
     }
 
@@ -123,12 +126,20 @@
         self.losses = 0;
     }
 
-    /// Gives up the data in flight if it should have arrived by now.
+    /// Returns whether a chunk of a snapshot is in flight, or so many entries that they may still be
+    /// on their way over a slow link. The loss of fewer shows at the next heartbeat, which the member
+    /// rejects.
+    pub(crate) fn has_much_in_flight(&self) -> bool {
+        let has_chunk = self.snapshot.as_ref().is_some_and(|transfer| transfer.chunk_bytes > 0);
+        has_chunk || self.bytes_in_flight() > MAX_REPEATED_BYTES
+    }
+
+    /// Gives up the data in flight if it is much and should have arrived by now.
     pub(crate) fn check_loss(&mut self, now: Timestamp) {
         let bytes = self.bytes_in_flight();
         let transmission = Duration::from_millis(bytes as u64 / SLOWEST_RATE);
         let wait = (MIN_LOSS_WAIT + transmission) * (1 << self.losses.min(MAX_DOUBLINGS));
-        if bytes > 0 && now.since(self.progress_at) >= wait {
+        if self.has_much_in_flight() && now.since(self.progress_at) >= wait {
             // Data for a member that does not respond at all is not on a slow link.
             let is_reached = self.last_contact.is_some_and(|at| at > self.progress_at);
             self.losses = if is_reached { self.losses + 1 } else { 0 };
@@ -159,11 +170,6 @@
         chunk + self.in_flight.iter().map(|batch| batch.bytes).sum::<usize>()
     }
 
-    /// Returns whether data was sent that is neither acknowledged nor given up as lost.
-    pub(crate) fn has_data_in_flight(&self) -> bool {
-        self.bytes_in_flight() > 0
-    }
-
     /// Returns whether a batch of `bytes` bytes may be sent before the next response arrives.
     pub(crate) fn can_send(&self, bytes: usize, max_batches: usize, max_bytes: usize) -> bool {
         let has_room = self.in_flight.len() < max_batches
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -38,6 +38,7 @@
 use crate::link::CallResult;
 use crate::link::FrameBudget;
 use crate::link::LinkHandle;
+use crate::link::LinkId;
 use crate::link::LinkMessage;
 use crate::memory_bounds::MemoryBounds;
 use crate::ports::ProtocolAdapter;
@@ -268,14 +269,14 @@
         }
     }
 
-    /// Tells the replica that what was on its way over a connection is lost.
-    pub(crate) fn record_lost_link(&self, lost: &PeerLink) {
+    /// Tells the replica that what was on its way over a connection, which is still in the list, is
+    /// lost.
+    pub(crate) fn record_lost_link(&self, lost: LinkId) {
         let mut replica = self.replica.borrow_mut();
         let Some(replica) = replica.as_mut() else { return };
         let members: Vec<HostId> = replica.node.membership().members().collect();
         for member in members {
-            let is_own = lost.is_outbound && self.peer_address(member) == Some(lost.peer);
-            if is_own || lost.replica == Some(member) {
+            if self.link_to(member).is_some_and(|link| link.id == lost) {
                 replica.node.connection_lost(member);
             }
         }
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -117,10 +117,8 @@
                 });
             }
             LinkEvent::Closed { id } => {
-                let mut links = self.host.links.borrow_mut();
-                let closed = links.extract_if(.., |link| link.link.id == id).collect::<Vec<_>>();
-                drop(links);
-                closed.iter().for_each(|link| self.host.record_lost_link(link));
+                self.host.record_lost_link(id);
+                self.host.links.borrow_mut().retain(|link| link.link.id != id);
             }
             LinkEvent::Message { link, message } => self.handle_message(link, message),
         }
