--- a/crates/gw-balance/src/target_view.rs
+++ b/crates/gw-balance/src/target_view.rs
@@ -6,6 +6,8 @@
 
 use crate::AnsweredRequests;
 use crate::AttemptOutcome;
+use crate::cold_state::ColdState;
+use crate::reported_load::TargetLoad;
 use crate::target_pacer::TargetPacer;
 
 /// Weight of the newest request in the moving averages.
@@ -55,6 +57,13 @@
     unreachable_until: Timestamp,
     /// Spaces this host's requests; `None` unless the target has named a limit on their rate.
     pacer: Option<TargetPacer>,
+    /// Whether the target is presumed cold, and what may be sent to it meanwhile.
+    pub(crate) cold: ColdState,
+    /// Load that the target has stated.
+    pub(crate) load: TargetLoad,
+    /// When the target gets its last request for keys, because its zone is evacuated; it gets no
+    /// other requests. `None` if the zone is not evacuated.
+    pub(crate) evacuated_at: Option<Timestamp>,
     /// Whether another target responded at its address, so that this run has ended.
     has_ended: bool,
     last_outcome_at: Timestamp,
@@ -69,7 +78,13 @@
 }
 
 impl TargetView {
-    pub(crate) fn new(record: TargetRecord, now: Timestamp, factor_spread: f64) -> Self {
+    /// Creates the view of a run that this host has learnt of by log index `index`.
+    pub(crate) fn new(
+        record: TargetRecord,
+        now: Timestamp,
+        index: u64,
+        factor_spread: f64,
+    ) -> Self {
         Self {
             record,
             is_same_zone: false,
@@ -85,6 +100,9 @@
             rests_until: Timestamp::ZERO,
             unreachable_until: Timestamp::ZERO,
             pacer: None,
+            cold: ColdState::new(now, index),
+            load: TargetLoad::default(),
+            evacuated_at: None,
             has_ended: false,
             last_outcome_at: now,
             responded_at: Timestamp::ZERO,
@@ -112,9 +130,20 @@
 
     /// Returns whether the target accepts new requests, even if it is paused or limited.
     pub(crate) fn is_serving(&self) -> bool {
+        self.would_serve() && self.evacuated_at.is_none()
+    }
+
+    /// Returns whether the target accepts new requests, or would if its zone were not evacuated.
+    pub(crate) fn would_serve(&self) -> bool {
         self.draining_since.is_none() && !self.has_ended
     }
 
+    /// Returns whether the evacuation of its zone allows no request to the target, one for a key that
+    /// it holds if `is_keyed`.
+    pub(crate) fn is_closed(&self, now: Timestamp, is_keyed: bool) -> bool {
+        self.evacuated_at.is_some_and(|at| !is_keyed || now >= at)
+    }
+
     /// Records that the target has said to this host that it leaves. Returns whether that is news.
     pub(crate) fn record_leaving(&mut self, now: Timestamp) -> bool {
         let is_new = self.draining_since.is_none();
@@ -128,10 +157,11 @@
     }
 
     /// Returns the time until this host may send the next request: until the rest that the target has
-    /// asked for is over, and the limit that it has named allows one. Zero if it has said neither.
+    /// asked for is over, the limit that it has named allows one, and it is warm or this host has a
+    /// permit. Zero if nothing limits the requests.
     pub fn limit_wait(&self, now: Timestamp) -> Duration {
         let paced = self.pacer.map_or(Duration::ZERO, |pacer| pacer.next_permit(now).since(now));
-        paced.max(self.rests_until.since(now))
+        paced.max(self.rests_until.since(now)).max(self.cold.wait(now))
     }
 
     /// Records that the target wants no request from this host for some time. Returns whether it
@@ -143,10 +173,11 @@
         is_new
     }
 
-    /// Returns the time between two requests of this host that the limit of the target allows; zero
-    /// if it names none.
-    pub fn limit_interval(&self) -> Duration {
-        self.pacer.map_or(Duration::ZERO, |pacer| pacer.interval())
+    /// Returns the time between two requests of this host that the limit of the target allows, or
+    /// the leader if the target is cold; zero if nothing limits them.
+    pub fn limit_interval(&self, now: Timestamp) -> Duration {
+        let named = self.pacer.map_or(Duration::ZERO, |pacer| pacer.interval());
+        named.max(self.cold.interval(now))
     }
 
     /// Sets the limit that the target has named for all of `host_count` hosts together. `phase`
@@ -170,6 +201,13 @@
         if let Some(pacer) = &mut self.pacer {
             pacer.record_send(now);
         }
+        self.cold.record_send(now);
+    }
+
+    /// Returns whether the target is presumed cold, so that it gets requests only by leases of the
+    /// leader.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        self.cold.is_cold(now)
     }
 
     /// Returns whether another target responded at its address, so that this run has ended.
@@ -198,11 +236,22 @@
     }
 
     /// Returns the cost by which targets are compared: the expected response time of a further
-    /// request in seconds, with penalties. `typical` replaces an unknown response time.
-    pub(crate) fn cost(&self, now: Timestamp, typical: f64, zone_penalty: f64) -> f64 {
-        let response_time = self.response_time(now).unwrap_or(typical);
+    /// request in seconds, with penalties. `typical` replaces an unknown response time. A load that
+    /// the target has stated can only raise the cost, if `uses_load`.
+    pub(crate) fn cost(
+        &self,
+        now: Timestamp,
+        typical: f64,
+        zone_penalty: f64,
+        uses_load: bool,
+    ) -> f64 {
+        let (others, pace) = match uses_load {
+            true => (self.load.trusted_others(now), self.load.pace().unwrap_or(1.0).max(1.0)),
+            false => (0.0, 1.0),
+        };
+        let response_time = self.response_time(now).unwrap_or(typical * pace);
         let slots = f64::from(self.record.work_slots.max(1));
-        let rounds = (f64::from(self.in_flight + 1) / slots).max(1.0);
+        let rounds = ((f64::from(self.in_flight + 1) + others) / slots).max(1.0);
         let success_rate = (1.0 - self.failure_rate).max(0.1);
         let penalty = if self.is_same_zone { 0.0 } else { zone_penalty };
         response_time * rounds * self.cost_factor / (success_rate * success_rate) + penalty
@@ -243,6 +292,12 @@
         };
         self.last_outcome_at = now;
         self.failure_rate += AVERAGE_WEIGHT * (f64::from(u8::from(is_failure)) - self.failure_rate);
+        match outcome {
+            AttemptOutcome::Unreachable => self.cold.record_failure(now, true),
+            AttemptOutcome::Broken => self.cold.record_failure(now, false),
+            AttemptOutcome::Answered { .. } => self.cold.record_reached(now),
+            _ => {}
+        }
         if outcome != AttemptOutcome::Unreachable {
             self.unreachable_until = Timestamp::ZERO;
         }
--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -2,28 +2,34 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gw_fleet::DepartureCause;
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
+use gw_fleet::ZoneEvacuation;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
+use http::request;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
+use crate::control::call_body::BODY_LIMIT;
+use crate::control::call_body::CallBodyError;
+use crate::control::call_body::read_body;
 use crate::control::control_host::ControlHost;
 use crate::control::control_host::ReplySink;
 use crate::link::CallResult;
 use crate::link::LinkMessage;
+use crate::memory::ConnectionMemory;
 use crate::ports::CallError;
 use crate::ports::ControlCall;
 use crate::ports::ControlReply;
 use crate::ports::TargetAnnouncement;
 
-/// Largest body of a call, in bytes; fits a configuration with thousands of routes.
-const BODY_LIMIT: usize = 16 * 1024 * 1024;
+/// Size of a body, in bytes, from which calls are decided one after the other.
+const LARGE_CALL_BYTES: usize = 64 * 1024;
+/// Longest wait for another large call. Clients try another control host after a second.
+const LARGE_CALL_WAIT: Duration = Duration::from_millis(800);
 /// Longest time until a call is decided. Clients try another control host after a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Interval at which the applied index is checked while a read waits for it.
@@ -33,37 +39,63 @@
 pub(crate) async fn handle_call(
     host: Rc<ControlHost>,
     request: Request<Incoming>,
+    memory: Rc<ConnectionMemory>,
 ) -> Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
-    let body = match Limited::new(body, BODY_LIMIT).collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(error) => {
-            let error = CallError::Body(error.to_string());
-            log::warn!("event=call_refused method={} path={path} cause=\"{error}\"", head.method);
-            return host.adapter.write_error(&error).map(Full::new);
-        }
+    let refuse = |error: CallError| {
+        log::warn!("event=call_refused method={} path={path} cause=\"{error}\"", head.method);
+        host.adapter.write_error(&error).map(Full::new)
+    };
+    let (body, _held) = match read_body(&memory, body).await {
+        Ok(read) => read,
+        Err(CallBodyError::TooLarge) => return refuse(CallError::TooLarge { limit: BODY_LIMIT }),
+        Err(CallBodyError::Broken(cause)) => return refuse(CallError::Body(cause)),
+        Err(CallBodyError::NoMemory) => return refuse_busy(&host, &head, &path, "memory_full"),
+    };
+    // A parsed configuration takes several times its size until it is decided.
+    let _large_call = match body.len() > LARGE_CALL_BYTES {
+        true => match timeout(LARGE_CALL_WAIT, host.large_call.acquire()).await {
+            Ok(permit) => permit.ok(),
+            Err(_) => return refuse_busy(&host, &head, &path, "another large call"),
+        },
+        false => None,
     };
     let call = match host.adapter.read_call(&head.method, &path, &body) {
         Ok(call) => call,
-        Err(error) => {
-            log::warn!("event=call_refused method={} path={path} cause=\"{error}\"", head.method);
-            return host.adapter.write_error(&error).map(Full::new);
-        }
+        Err(error) => return refuse(error),
     };
+    drop(body);
     let reply = execute(&host, call).await;
     if let ControlReply::Unavailable { reason } = &reply {
-        log::info!("event=call_unavailable method={} path={path} reason={reason}", head.method);
+        return refuse_busy(&host, &head, &path, reason);
     }
     host.adapter.write_reply(&reply).map(Full::new)
 }
 
+/// Answers a call that this host cannot serve now.
+fn refuse_busy(
+    host: &ControlHost,
+    head: &request::Parts,
+    path: &str,
+    reason: &'static str,
+) -> Response<Full<Bytes>> {
+    log::info!("event=call_unavailable method={} path={path} reason={reason}", head.method);
+    host.adapter.write_reply(&ControlReply::Unavailable { reason }).map(Full::new)
+}
+
 async fn execute(host: &Rc<ControlHost>, call: ControlCall) -> ControlReply {
     match call {
         ControlCall::Announce(announcement) => announce(host, announcement).await,
         ControlCall::Leave { name } => {
-            let command =
-                FleetCommand::RemoveTarget { name, run: None, cause: DepartureCause::Left };
+            let command = {
+                let (log, replacements) = (host.log.borrow(), host.run_replacements.borrow());
+                replacements.departure(host.now(), log.state(), &name)
+            };
+            let Some(command) = command else {
+                log::warn!("event=late_departure_ignored target={name}");
+                return ControlReply::Accepted;
+            };
             commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
         }
         ControlCall::PutConfig(config) => {
@@ -74,6 +106,20 @@
             }
         }
         ControlCall::ReadConfig => read_config(host).await,
+        ControlCall::StartEvacuation { zone } => {
+            // The leader sets the time when it proposes the command.
+            let evacuation = ZoneEvacuation { zone, since_unix_ms: 0 };
+            let command = FleetCommand::StartEvacuation(evacuation);
+            commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
+        }
+        ControlCall::EndEvacuation { zone } => {
+            let command = FleetCommand::EndEvacuation { zone };
+            commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
+        }
+        ControlCall::ReadEvacuations => match catch_up(host).await {
+            Ok(()) => ControlReply::Evacuations(host.log.borrow().state().evacuations().to_vec()),
+            Err(reply) => reply,
+        },
     }
 }
 
@@ -89,16 +135,15 @@
     if !is_newest {
         return ControlReply::Accepted;
     }
+    // The leader learns of it before the record of a new run, which may go to it over the same
+    // connection.
+    host.update_warm_up_limits();
+    host.record_warmth(&announcement.record.holder(), announcement.warm_up_left, Duration::ZERO);
     let name = announcement.record.name.clone();
     let is_known = {
         let log = host.log.borrow();
         let state = log.state();
-        let has_departed = state.departed().iter().any(|departed| {
-            departed.record.name == name
-                && departed.record.run >= announcement.record.run
-                && departed.cause != DepartureCause::Silent
-        });
-        has_departed || state.target(&name) == Some(&announcement.record)
+        state.is_outdated(&announcement.record) || state.target(&name) == Some(&announcement.record)
     };
     if is_known {
         if !host.is_leader() {
@@ -144,14 +189,25 @@
     Ok(())
 }
 
-/// Performs a linearizable read of the configuration: waits until this host has applied everything
-/// that was acknowledged before the call.
+/// Performs a linearizable read of the configuration.
 async fn read_config(host: &Rc<ControlHost>) -> ControlReply {
+    if let Err(reply) = catch_up(host).await {
+        return reply;
+    }
+    let log = host.log.borrow();
+    match log.state().stored_config() {
+        Some(config) => ControlReply::Config(Bytes::from_owner(config.document.clone())),
+        None => ControlReply::NoConfig,
+    }
+}
+
+/// Waits until this host has applied everything that was acknowledged before the call.
+async fn catch_up(host: &Rc<ControlHost>) -> Result<(), ControlReply> {
     let (sender, receiver) = oneshot::channel();
     if host.is_leader() {
         host.read_as_leader(ReplySink::Local(sender));
-    } else if let Err(reply) = ask_leader(host, sender, |call| LinkMessage::ReadFence { call }) {
-        return reply;
+    } else {
+        ask_leader(host, sender, |call| LinkMessage::ReadFence { call })?;
     }
     let caught_up = async {
         let Ok(CallResult::ReadIndex(index)) = receiver.await else { return false };
@@ -161,11 +217,7 @@
         true
     };
     if !tokio::time::timeout(CALL_TIMEOUT, caught_up).await.unwrap_or(false) {
-        return ControlReply::Unavailable { reason: "cannot tell the newest configuration" };
-    }
-    let log = host.log.borrow();
-    match log.state().stored_config() {
-        Some(config) => ControlReply::Config(Bytes::copy_from_slice(&config.document)),
-        None => ControlReply::NoConfig,
+        return Err(ControlReply::Unavailable { reason: "cannot tell the newest state" });
     }
+    Ok(())
 }
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -15,6 +15,7 @@
 use gw_dispatch::QuarantineOptions;
 use gw_fleet::FleetCommand;
 use gw_fleet::ReplacementWindow;
+use gw_fleet::RunReplacements;
 use gw_fleet::TargetPhase;
 use gw_fleet::TargetRecord;
 use gw_ranges::RangeHolder;
@@ -22,9 +23,11 @@
 use gw_types::HostId;
 use gw_types::TargetName;
 use gw_types::Timestamp;
+use tokio::sync::Semaphore;
 use tokio::sync::oneshot;
 
 use crate::GatewaySettings;
+use crate::control::cold_targets::ColdDuty;
 use crate::control::fleet_log::FleetLog;
 use crate::control::granter_set::GranterSet;
 use crate::control::peer_links::PeerLink;
@@ -40,6 +43,7 @@
 use crate::link::LinkHandle;
 use crate::link::LinkId;
 use crate::link::LinkMessage;
+use crate::memory::MemoryGate;
 use crate::memory_bounds::MemoryBounds;
 use crate::ports::ProtocolAdapter;
 use crate::ports::TargetDialer;
@@ -48,6 +52,12 @@
 /// Longest time since the last message of a leader for a follower to count as in contact with the
 /// group.
 pub(crate) const CONTACT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Fraction of the process's memory for the bodies of calls. The control log and what is derived from
+/// it need the rest.
+const MEMORY_SHARE: f64 = 0.25;
+/// Size of the kernel's buffers of a connection for calls, in bytes: a configuration of 1 MB takes
+/// less than 0.1 s at a round trip of 10 ms.
+const SOCKET_BUFFER_BYTES: usize = 256 * 1024;
 /// Bounds for remembering requests that crash targets: `capacity` bounds memory, `hold` outlasts
 /// callers' retries.
 const QUARANTINE_OPTIONS: QuarantineOptions =
@@ -105,7 +115,11 @@
     pub(crate) shared_frames: FrameBudget,
     pub(crate) adapter: Rc<dyn ProtocolAdapter>,
     pub(crate) clock: BootClock,
-    pub(crate) metrics: GatewayMetrics,
+    pub(crate) metrics: Rc<GatewayMetrics>,
+    /// What this host holds for calls.
+    pub(crate) memory: Rc<MemoryGate>,
+    /// Held while a large call is parsed and decided, which takes several times its size.
+    pub(crate) large_call: Semaphore,
     pub(crate) control_address: SocketAddr,
     pub(crate) connections: TargetConnections,
     pub(crate) identity: RefCell<Option<ReplicaIdentity>>,
@@ -113,6 +127,8 @@
     pub(crate) log: RefCell<FleetLog>,
     pub(crate) links: RefCell<Vec<PeerLink>>,
     pub(crate) monitor: RefCell<TargetMonitor>,
+    /// Targets of which a later run has appeared a short time ago.
+    pub(crate) run_replacements: RefCell<RunReplacements>,
     /// Targets that announced themselves here without a change since the last report to the leader.
     pub(crate) heard_targets: RefCell<BTreeSet<TargetName>>,
     pub(crate) granters: RefCell<GranterSet>,
@@ -121,6 +137,7 @@
     /// Overloaded holders that were last reported to entry hosts.
     pub(crate) overloaded: RefCell<Vec<RangeHolder>>,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
+    pub(crate) cold: RefCell<ColdDuty>,
     /// When this host was last in contact with a majority, or last logged that it is not.
     pub(crate) majority_seen_at: Cell<Timestamp>,
     /// When this leader first saw each other replica as a member.
@@ -150,11 +167,15 @@
     ) -> Rc<Self> {
         let clock = BootClock;
         let bounds = MemoryBounds::of(settings.memory_bytes);
+        let metrics = Rc::new(GatewayMetrics::default());
+        let memory = MemoryGate::new(&settings, MEMORY_SHARE, SOCKET_BUFFER_BYTES, metrics.clone());
         Rc::new(Self {
             bounds,
             shared_frames: FrameBudget::new(bounds.shared_frames),
             adapter,
-            metrics: GatewayMetrics::default(),
+            metrics,
+            memory,
+            large_call: Semaphore::new(1),
             control_address,
             connections: TargetConnections::new(dialer),
             identity: RefCell::default(),
@@ -162,11 +183,13 @@
             log: RefCell::new(FleetLog::new(bounds.recent_commands)),
             links: RefCell::default(),
             monitor: RefCell::default(),
+            run_replacements: RefCell::default(),
             heard_targets: RefCell::default(),
             granters: RefCell::new(GranterSet::new(settings.max_lease_duration)),
             granters_stepped_at: Cell::new(Timestamp::ZERO),
             overloaded: RefCell::default(),
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
+            cold: RefCell::new(ColdDuty::new(clock.now(), &settings)),
             majority_seen_at: Cell::new(clock.now()),
             first_seen: RefCell::default(),
             replacement: Cell::default(),
--- a/crates/gw-gateway/src/control/mod.rs
+++ b/crates/gw-gateway/src/control/mod.rs
@@ -1,7 +1,9 @@
 //! Control hosts: replicate the control log, serve calls of targets and operators, and grant key
 //! ranges to targets.
 
+mod call_body;
 mod call_handler;
+mod cold_targets;
 mod control_host;
 mod fleet_log;
 mod granter_set;
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -8,6 +8,7 @@
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
 use gw_fleet::FleetState;
+use gw_fleet::ZoneEvacuation;
 use gw_types::HostId;
 
 use crate::control::control_host::ControlHost;
@@ -18,6 +19,7 @@
 use crate::link::CallFailure;
 use crate::link::CallResult;
 use crate::link::LinkMessage;
+use crate::wall_clock::unix_millis;
 
 /// Number of applied entries after which the log is compacted into a snapshot, if their size has not
 /// led to one before.
@@ -122,12 +124,26 @@
             }
         };
         let count_before = self.log.borrow().state().replicas().len();
+        let previous_run = match &command {
+            Some(FleetCommand::PutTarget(record)) => {
+                self.log.borrow().state().latest_run(&record.name)
+            }
+            _ => None,
+        };
         let outcome = self.log.borrow_mut().apply(index, command.as_ref());
         self.record_replacement(count_before);
         if let (Some(command), Some(outcome)) = (&command, outcome) {
             if let FleetCommand::PutTarget(record) = command {
                 // The target announced itself a moment ago, possibly to another replica.
                 self.monitor.borrow_mut().record_contact(self.now(), &record.name);
+                if outcome == FleetOutcome::Applied
+                    && previous_run.is_some_and(|run| run < record.run)
+                {
+                    self.run_replacements.borrow_mut().record(self.now(), record.holder());
+                }
+            }
+            if let FleetCommand::EndEvacuation { zone } = command {
+                self.record_evacuation_end(zone);
             }
             log_applied(index, command, outcome);
         }
@@ -189,6 +205,7 @@
         let event = if is_leader { "leads_control" } else { "left_control" };
         log::info!("event={event} term={term}");
         self.granters.borrow_mut().restart();
+        self.restart_cold_duty();
         self.monitor.borrow_mut().restart(self.now());
         self.first_seen.borrow_mut().clear();
         if !is_leader {
@@ -212,7 +229,8 @@
         links.iter().all(|link| link.hello.is_none() || link.link.supports(command.format()))
     }
 
-    /// Appends a command to the log as leader. The outcome goes to `reply_to` once it is committed.
+    /// Appends a command to the log as leader, an evacuation with the present time. The outcome goes
+    /// to `reply_to` once it is committed.
     pub(crate) fn propose_as_leader(&self, command: &FleetCommand, reply_to: ReplySink) {
         if !self.is_readable_by_all(command) {
             log::warn!("event=proposal_refused cause=\"a host of an earlier build is connected\"");
@@ -220,6 +238,15 @@
             return;
         }
         let now = self.now();
+        let stamped;
+        let command = match command {
+            FleetCommand::StartEvacuation(ZoneEvacuation { zone, .. }) => {
+                let (zone, since_unix_ms) = (zone.clone(), unix_millis());
+                stamped = FleetCommand::StartEvacuation(ZoneEvacuation { zone, since_unix_ms });
+                &stamped
+            }
+            command => command,
+        };
         let proposed = {
             let mut slot = self.replica.borrow_mut();
             let replica = slot.as_mut().filter(|replica| replica.node.is_leader());
@@ -309,8 +336,9 @@
             log::info!("event=ranges_changed index={index} outcome={outcome:?} change={change:?}");
         }
         FleetCommand::StartEvacuation(evacuation) => log::info!(
-            "event=evacuation_started index={index} zone={} outcome={outcome:?}",
+            "event=evacuation_started index={index} zone={} since_unix_ms={} outcome={outcome:?}",
             evacuation.zone,
+            evacuation.since_unix_ms,
         ),
         FleetCommand::EndEvacuation { zone } => {
             log::info!("event=evacuation_ended index={index} zone={zone} outcome={outcome:?}");
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -8,9 +8,12 @@
 use gw_dispatch::QuarantineEntry;
 use gw_fleet::ControlChoice;
 use gw_fleet::FleetState;
+use gw_fleet::FormatVersion;
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
+use gw_ranges::OrderKind;
+use gw_ranges::RangeHolder;
 use gw_ranges::TargetOrder;
 use gw_types::Timestamp;
 use gw_types::ZoneName;
@@ -211,6 +214,7 @@
                 }
                 self.check_progress();
             }
+            LinkMessage::ColdTargets(message) => self.host.apply_cold_message(message),
             LinkMessage::RunOrder { call, order, address, send_before } => {
                 let send_before = Timestamp::from_nanos(send_before);
                 let host = self.host.clone();
@@ -228,6 +232,9 @@
         let knows_zone = head.is_leader || link.zone.as_ref() == Some(&own_zone);
         if head.is_current {
             self.host.last_contact.set(self.host.now());
+            if self.host.learned.borrow().contains(head.index) {
+                self.host.current_at.set(Some(self.host.now()));
+            }
         }
         if head.is_leader {
             let host_count = usize::try_from(head.host_count).unwrap_or(usize::MAX);
@@ -357,7 +364,10 @@
         }
         self.select_stream();
         self.check_progress();
+        self.host.log_stopped_zones();
         self.report();
+        self.host.log_cold_targets();
+        self.host.probe_cold_targets();
         if self.host.now().since(self.shares_received_at) > MAX_SHARES_AGE {
             self.host.throttle.borrow_mut().update(Vec::new(), 0.0);
         }
@@ -398,6 +408,18 @@
                 base.clone()
             };
             link.link.send(&LinkMessage::Report(report));
+            if is_leader && link.link.supports(FormatVersion::EVACUATIONS) {
+                let paces = self.host.pool.borrow_mut().take_paces();
+                let percent = |(holder, pace): (RangeHolder, f64)| (holder, (pace * 100.0) as u16);
+                let percents: Vec<_> = paces.into_iter().map(percent).collect();
+                if !percents.is_empty() {
+                    link.link.send(&LinkMessage::TargetPaces { percents });
+                }
+                let reports = self.host.take_warmth_reports();
+                if !reports.is_empty() {
+                    link.link.send(&LinkMessage::Warmth { reports });
+                }
+            }
         }
     }
 
@@ -453,7 +475,9 @@
     address: SocketAddr,
     send_before: Timestamp,
 ) {
-    let may_send = || host.now() < send_before;
+    let is_grant = matches!(order.kind, OrderKind::Grant { .. });
+    let may_send =
+        || host.now() < send_before && (!is_grant || host.state().may_grant(&order.holder));
     let reply = send_order(&*host.adapter, &host.connections, address, &order, may_send).await;
     if reply.is_leaving {
         host.pool.borrow_mut().record_leaving(host.now(), &order.holder);
--- a/crates/gw-gateway/src/entry/mod.rs
+++ b/crates/gw-gateway/src/entry/mod.rs
@@ -1,9 +1,11 @@
 //! Entry hosts: serve callers' requests and follow the control log as non-voting learners.
 
 mod admission;
+mod cold_watch;
 mod control_links;
 mod entry_host;
 mod forwarded_stream;
+mod hedged_attempt;
 mod local_reply;
 mod path_probe;
 mod read_request;
--- a/crates/gw-gateway/src/entry/relay_attempt.rs
+++ b/crates/gw-gateway/src/entry/relay_attempt.rs
@@ -2,13 +2,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gw_balance::AttemptOutcome;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::response;
-use http_body_util::Full;
 use tokio::time::Instant;
 
 use crate::callers::ResponseBody;
@@ -25,13 +23,19 @@
 use crate::entry::target_attempt::copy_request;
 use crate::entry::target_attempt::max_idle;
 use crate::entry::transfer_gate::TransferSlot;
+use crate::targets::ConnectionUse;
 use crate::targets::ExchangeOptions;
 use crate::targets::ExchangeOutcome;
+use crate::targets::OutgoingBody;
 use crate::targets::StreamedReply;
 use crate::targets::TargetReply;
 
 /// Number of relays through which a request is sent, as long as none of them can execute it.
 const MAX_RELAYS: usize = 3;
+/// Part of the remaining time that is kept for the reply of a relay: a round trip to another zone and
+/// the wait at two busy hosts. A relay that states at its own deadline that the request was not
+/// executed would otherwise do so too late, and the outcome would be unknown.
+const RELAY_RETURN_MARGIN: Duration = Duration::from_millis(60);
 
 /// Outcome of sending a request through other entry hosts.
 pub(crate) enum RelayOutcome {
@@ -79,9 +83,10 @@
     if remaining.is_zero() {
         return refused("too_late", MOVE_RETRY_AFTER);
     }
-    let options =
-        ExchangeOptions { deadline, max_idle: max_idle(request), max_whole_bytes: MAX_WHOLE_BYTES };
-    let outgoing = build_request(request, remaining, attempts);
+    let connection = ConnectionUse::Shared { max_idle: max_idle(request) };
+    let options = ExchangeOptions { deadline, connection, max_whole_bytes: MAX_WHOLE_BYTES };
+    let relay_time = remaining.saturating_sub(RELAY_RETURN_MARGIN).max(remaining / 2);
+    let outgoing = build_request(request, relay_time, attempts);
     let end = host.relays.connections().exchange(address, outgoing, &options, || true).await;
     match end {
         ExchangeOutcome::Replied(TargetReply { head, body, elapsed, .. }) => {
@@ -184,7 +189,7 @@
     request: &ReadRequest,
     remaining: Duration,
     attempts: u32,
-) -> Request<Full<Bytes>> {
+) -> Request<OutgoingBody> {
     let mut outgoing = copy_request(request);
     let age = request.started.elapsed();
     RelayTerms { remaining, age, attempts }.write(outgoing.headers_mut());
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -1,10 +1,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use gw_balance::ConnectionGroup;
 use gw_dispatch::CrashVerdict;
+use gw_dispatch::MisdirectionRetry;
 use gw_pipeline::ParseError;
 use gw_pipeline::ParserLimits;
+use gw_pipeline::RequestBody;
 use gw_routing::RepeatRule;
 use gw_types::TargetName;
 use http::Request;
@@ -17,13 +19,18 @@
 use crate::callers::RequestTurn;
 use crate::callers::ResponseBody;
 use crate::entry::admission::AdmissionParams;
+use crate::entry::admission::ZONE_EVACUATED;
 use crate::entry::admission::admit;
+use crate::entry::admission::evacuation_refusal;
 use crate::entry::admission::max_wait;
 use crate::entry::entry_host::EntryHost;
+use crate::entry::hedged_attempt::hedged_attempt;
+use crate::entry::hedged_attempt::may_hedge;
 use crate::entry::local_reply::LocalReply;
 use crate::entry::read_request::ReadRequest;
 use crate::entry::read_request::RequestOrigin;
 use crate::entry::read_request::read_request;
+use crate::entry::read_request::wait_for_config;
 use crate::entry::relay_attempt::RelayOutcome;
 use crate::entry::relay_attempt::relay;
 use crate::entry::relay_headers::PATH_LOST;
@@ -34,6 +41,7 @@
 use crate::entry::transfer_gate::TransferSlot;
 use crate::http_server::DEFAULT_HEAD_BYTES;
 use crate::http_server::DEFAULT_IDLE_TIMEOUT;
+use crate::memory::MemoryGate;
 
 /// `Retry-After` when targets refused all attempts.
 const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -44,6 +52,14 @@
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` for a request that crashes targets: the time until the targets are back.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// `Retry-After` when the memory for bodies is used up: about the time in which senders without
+/// progress are closed.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest time for which a body waits for memory. Senders without progress are closed in about a
+/// second, and what they held is free then.
+const MAX_BODY_WAIT: Duration = Duration::from_secs(2);
+/// Part of the caller's time limit for which its body may wait, so that it can try elsewhere.
+const BODY_WAIT_SHARE: f64 = 0.25;
 /// Number of targets that a request may crash before all hosts refuse it.
 const CRASH_LIMIT: u8 = 3;
 /// Attempts that may fail before anything is sent. They do not count towards the route's
@@ -56,8 +72,6 @@
 };
 /// Bytes that a relayed request's head may have beyond the limit for callers.
 const RELAY_HEAD_BYTES: usize = 1024;
-/// Wait for a newer state after a target reported that it does not hold the key.
-const MISDIRECTED_DELAY: Duration = Duration::from_millis(40);
 
 /// Handles the requests of callers, or of other entry hosts, on an entry host.
 pub(crate) struct RequestHandler {
@@ -100,7 +114,7 @@
 
     fn respond(
         self: Rc<Self>,
-        request: Request<Bytes>,
+        request: Request<RequestBody>,
         turn: RequestTurn,
     ) -> impl Future<Output = Response<ResponseBody>> + 'static {
         handle_request(self.host.clone(), request, self.origin, turn)
@@ -113,6 +127,27 @@
         refusal.response_to(self.origin)
     }
 
+    fn refuse_for_memory(&self) -> Response<ResponseBody> {
+        let refusal = LocalReply::not_executed("memory_full", MEMORY_RETRY_AFTER);
+        log_refusal(&self.host, self.host.next_number(), &refusal);
+        self.host.metrics.count_request("none", refusal.reason, Duration::ZERO);
+        refusal.response_to(self.origin)
+    }
+
+    fn max_body_wait(&self, head: &Request<()>) -> Duration {
+        let (head, ()) = head.clone().into_parts();
+        let timeout = self.host.adapter.read_request_metadata(&head).timeout;
+        timeout.map_or(MAX_BODY_WAIT, |timeout| MAX_BODY_WAIT.min(timeout.mul_f64(BODY_WAIT_SHARE)))
+    }
+
+    fn memory(&self) -> (Rc<MemoryGate>, ConnectionGroup) {
+        let group = match self.origin {
+            RequestOrigin::Caller => ConnectionGroup::Callers,
+            RequestOrigin::EntryHost => ConnectionGroup::Hosts,
+        };
+        (self.host.memory.clone(), group)
+    }
+
     fn count_pipelined(&self) {
         self.host.metrics.pipelined_requests.inc();
     }
@@ -121,12 +156,15 @@
 /// Handles one request, from reading it to the response.
 async fn handle_request(
     host: Rc<EntryHost>,
-    request: Request<Bytes>,
+    request: Request<RequestBody>,
     origin: RequestOrigin,
     turn: RequestTurn,
 ) -> Response<ResponseBody> {
     let started = Instant::now();
     let number = host.next_number();
+    let (head, body) = request.into_parts();
+    wait_for_config(&host, &head, started).await;
+    let request = Request::from_parts(head, body);
     let (service, response, outcome) = match read_request(&host, request, origin, started, number) {
         Ok(read) => {
             if read.rule.repeat == RepeatRule::AtMostOnce {
@@ -182,6 +220,9 @@
     };
     let mut tried: Vec<TargetName> = Vec::new();
     let (mut reached, mut unsent) = (0, 0);
+    // Attempts that count towards the route's limit: targets that did not hold the key do not.
+    let mut counted = 0;
+    let mut misdirections = MisdirectionRetry::default();
     let mut may_relay = !is_relayed;
     let mut was_refused = false;
     // Whether a connection to the last target could not be established.
@@ -201,13 +242,17 @@
             let refusal = LocalReply::not_executed("stopping", STOP_RETRY_AFTER);
             return refuse(host, request, last.unwrap_or(refusal));
         }
+        // Also keeps the request from other entry hosts, which may not know of the evacuation yet.
+        if let Some(refusal) = evacuation_refusal(host, params) {
+            return refuse(host, request, last.unwrap_or(refusal));
+        }
         if may_relay && (is_unreachable || host.lacks_path(params)) {
             may_relay = false;
             if reached > 0 && !host.try_retry(&params.service) {
                 let refusal = LocalReply::not_executed("retry_budget", REFUSAL_RETRY_AFTER);
                 return refuse(host, request, last.unwrap_or(refusal));
             }
-            let attempts = request.rule.max_attempts.max(1).saturating_sub(reached).max(1);
+            let attempts = request.rule.max_attempts.max(1).saturating_sub(counted).max(1);
             if let Some(ended) = send_through_relay(host, request, attempts, &mut slot, last).await
             {
                 return ended;
@@ -229,8 +274,31 @@
             let refusal = LocalReply::not_executed("retry_budget", REFUSAL_RETRY_AFTER);
             return refuse(host, request, last.unwrap_or(refusal));
         }
-        let target = permit.holder.target.clone();
-        let outcome = attempt(host, request, permit, was_refused, &mut slot).await;
+        let mut target = permit.holder.target.clone();
+        let outcome = if reached == 0 && may_hedge(host, request) {
+            let (last_target, outcome, failed) =
+                // Two attempts at once need more memory than one, which other requests do not pay for.
+                Box::pin(hedged_attempt(host, request, permit, &tried, &mut slot)).await;
+            if let Some(failed) = failed {
+                match failed.outcome {
+                    ForwardOutcome::Response(_) => {}
+                    ForwardOutcome::NotExecuted { reason, reached: was_reached, .. } => {
+                        reached += u32::from(was_reached);
+                        was_refused |= was_reached;
+                        last = Some(LocalReply::not_executed(reason, REFUSAL_RETRY_AFTER));
+                    }
+                    ForwardOutcome::Unknown { status, reason, .. } => {
+                        reached += 1;
+                        last = Some(LocalReply::outcome_unknown(status, reason));
+                    }
+                }
+                tried.push(failed.target);
+            }
+            target = last_target;
+            outcome
+        } else {
+            attempt(host, request, permit, was_refused, &mut slot).await
+        };
         let misdirected = matches!(outcome, ForwardOutcome::NotExecuted { misdirected: true, .. });
         let may_try_again =
             matches!(outcome, ForwardOutcome::Unknown { is_connection_fault: true, .. });
@@ -243,6 +311,7 @@
             }
             ForwardOutcome::NotExecuted { reason, reached: was_reached, .. } => {
                 reached += u32::from(was_reached);
+                counted += u32::from(was_reached && !misdirected);
                 was_refused |= was_reached;
                 unsent += u32::from(!was_reached);
                 is_unreachable = reason == TARGET_UNREACHABLE;
@@ -257,21 +326,24 @@
             }
             ForwardOutcome::Unknown { status, reason, .. } => {
                 reached += 1;
+                counted += 1;
                 last = Some(LocalReply::outcome_unknown(status, reason));
                 if request.rule.repeat == RepeatRule::AtMostOnce {
                     return refuse(host, request, LocalReply::outcome_unknown(status, reason));
                 }
             }
         }
-        let is_exhausted = reached >= request.rule.max_attempts.max(1)
+        let repeat_after = misdirected.then(|| misdirections.record());
+        let is_exhausted = counted >= request.rule.max_attempts.max(1)
+            || repeat_after == Some(None)
             || unsent >= MAX_UNSENT_ATTEMPTS
             || (is_relayed && is_unreachable && params.key.is_some())
             || Instant::now() >= params.deadline;
         if let Some(last) = last.filter(|_| is_exhausted) {
             return refuse(host, request, last);
         }
-        if misdirected {
-            tokio::time::sleep(MISDIRECTED_DELAY).await;
+        if let Some(Some(wait)) = repeat_after {
+            tokio::time::sleep(wait).await;
         }
         if params.key.is_none() && !may_try_again {
             tried.push(target);
@@ -348,6 +420,9 @@
     request: &ReadRequest,
     reply: LocalReply,
 ) -> (Response<ResponseBody>, &'static str) {
+    if reply.reason == ZONE_EVACUATED {
+        host.metrics.evacuation_refusals.inc();
+    }
     log::info!(
         "event=refused id={} number={} route={} service={} status={} reason={} age_ms={} key={} {} \
          waiting={} state={}",
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -1,6 +1,13 @@
 //! Connections between hosts, which carry length-prefixed postcard frames over TCP.
 
+mod cold_message;
 mod dialed_peers;
+#[cfg(test)]
+#[path = "../../tests/link/earlier_frames.rs"]
+mod earlier_frames;
+#[cfg(test)]
+#[path = "../../tests/link/earlier_values.rs"]
+mod earlier_values;
 mod frame_budget;
 mod frame_decoder;
 mod frame_queue;
@@ -9,6 +16,10 @@
 mod link_message;
 mod link_task;
 
+pub(crate) use cold_message::ColdMessage;
+pub(crate) use cold_message::GrantReport;
+pub(crate) use cold_message::LeaseReport;
+pub(crate) use cold_message::WarmthReport;
 pub(crate) use dialed_peers::DialedPeers;
 pub(crate) use frame_budget::FrameBudget;
 pub(crate) use frame_queue::FrameQueue;
--- a/crates/gw-pipeline/src/request_parser.rs
+++ b/crates/gw-pipeline/src/request_parser.rs
@@ -1,5 +1,7 @@
 use bytes::Buf;
+use bytes::BufMut;
 use bytes::BytesMut;
+use bytes::buf::Limit;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -29,6 +31,8 @@
 #[derive(Debug)]
 struct StartedRequest {
     head: Request<()>,
+    /// Length of the head in bytes.
+    head_bytes: usize,
     keeps_alive: bool,
     /// Whether the caller waits for `100 Continue` before it sends the body.
     awaits_continue: bool,
@@ -46,12 +50,55 @@
     started: Option<StartedRequest>,
     /// Length of the buffer at which the head was last found to be incomplete.
     incomplete_len: usize,
+    /// Whether bytes were last read to the body itself and not to `buffer`.
+    reads_body: bool,
 }
 
 impl RequestParser {
     /// Creates a parser for a new connection.
     pub fn new(limits: ParserLimits) -> Self {
-        Self { limits, buffer: BytesMut::new(), started: None, incomplete_len: 0 }
+        let (buffer, started, incomplete_len) = (BytesMut::new(), None, 0);
+        Self { limits, buffer, started, incomplete_len, reads_body: false }
+    }
+
+    /// Buffer to which the next bytes are read, with room for `room` bytes, or for fewer if they
+    /// belong to a body. [`Self::record_read`] must follow the read.
+    pub fn read_buffer(&mut self, room: usize) -> Limit<&mut BytesMut> {
+        let is_parsed = self.buffer.is_empty();
+        let body = self.started.as_mut().filter(|_| is_parsed);
+        let target = body.and_then(|started| started.body.read_buffer());
+        self.reads_body = target.is_some();
+        match target {
+            Some((buffer, left)) => buffer.limit(left),
+            None => {
+                self.buffer.reserve(room);
+                let room = self.buffer.capacity() - self.buffer.len();
+                (&mut self.buffer).limit(room)
+            }
+        }
+    }
+
+    /// Records that `count` bytes were read to [`Self::read_buffer`].
+    pub fn record_read(&mut self, count: usize) {
+        if let Some(started) = self.started.as_mut().filter(|_| self.reads_body) {
+            started.body.record_read(count);
+        }
+    }
+
+    /// Bytes of the body that is being collected, and its length if that is known; `None` outside a
+    /// body.
+    pub fn body_len(&self) -> Option<(usize, Option<usize>)> {
+        self.started.as_ref().map(|started| (started.body.len(), started.body.length()))
+    }
+
+    /// Head of the request whose body is being collected.
+    pub fn started_head(&self) -> Option<&Request<()>> {
+        self.started.as_ref().map(|started| &started.head)
+    }
+
+    /// Drops what has arrived of a request that is refused. The connection must be closed.
+    pub fn clear(&mut self) {
+        *self = Self::new(self.limits);
     }
 
     /// Buffer to which received bytes are appended.
@@ -95,10 +142,11 @@
         }
         let Some(started) = &mut self.started else { return Ok(None) };
         let Some(body) = started.body.decode(&mut self.buffer)? else { return Ok(None) };
-        let Some(StartedRequest { head, keeps_alive, .. }) = self.started.take() else {
+        let Some(StartedRequest { head, head_bytes, keeps_alive, .. }) = self.started.take() else {
             return Ok(None);
         };
-        Ok(Some(ParsedRequest { request: head.map(|()| body), keeps_alive }))
+        let request = head.map(|()| body);
+        Ok(Some(ParsedRequest { request, head_bytes, keeps_alive }))
     }
 
     fn parse_head(&mut self) -> Result<Option<StartedRequest>, ParseError> {
@@ -125,7 +173,7 @@
         if len > self.limits.head_bytes {
             return Err(ParseError::HeadTooLarge);
         }
-        let started = start_request(&parsed, self.limits.body_bytes)?;
+        let started = start_request(&parsed, len, self.limits.body_bytes)?;
         self.buffer.advance(len);
         self.incomplete_len = 0;
         Ok(Some(started))
@@ -134,6 +182,7 @@
 
 fn start_request(
     parsed: &httparse::Request<'_, '_>,
+    head_bytes: usize,
     max_body_bytes: usize,
 ) -> Result<StartedRequest, ParseError> {
     let malformed = ParseError::MalformedHead;
@@ -158,7 +207,7 @@
     *head.uri_mut() = uri.map_err(|_| malformed)?;
     *head.version_mut() = version;
     *head.headers_mut() = headers;
-    Ok(StartedRequest { head, keeps_alive, awaits_continue, body })
+    Ok(StartedRequest { head, head_bytes, keeps_alive, awaits_continue, body })
 }
 
 fn body_decoder(headers: &HeaderMap, max_body_bytes: usize) -> Result<BodyDecoder, ParseError> {
--- a/crates/gw-ranges/src/lib.rs
+++ b/crates/gw-ranges/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod acceptance_estimator;
 mod decayed_counts;
+mod evacuation_pace;
 mod granter_options;
 mod holder_share;
 mod key_range;
@@ -21,6 +22,7 @@
 mod range_lease;
 mod range_plan;
 mod range_table;
+mod stated_pace;
 mod target_order;
 
 pub use acceptance_estimator::AcceptanceEstimator;
@@ -40,6 +42,7 @@
 pub use range_plan::plan_moves;
 pub use range_table::RangeAssignment;
 pub use range_table::RangeTable;
+pub use stated_pace::StatedPace;
 pub use target_order::OrderKind;
 pub use target_order::OrderOutcome;
 pub use target_order::TargetOrder;
--- a/crates/gw-ranges/src/range_holder.rs
+++ b/crates/gw-ranges/src/range_holder.rs
@@ -26,8 +26,14 @@
 pub enum HolderStatus {
     /// Announces itself and may receive keys.
     Serving,
+    /// Announces itself, but sustains few requests for some time. Keeps its keys until they move, and
+    /// receives keys only if no target is serving at its full speed.
+    Cold,
     /// Is draining or has deregistered itself. Still serves its keys, but receives no more.
     Draining,
+    /// Serves its keys until they have moved, and receives no more, because its zone is evacuated.
+    /// Its ranges leave at a limited pace; see [`crate::plan_moves`].
+    Evacuated,
     /// Was not heard from for too long. It may still run and serve keys.
     Silent,
     /// Has certainly ended: a later run of the target, or another target, has its address.
