fix(gw-gateway): a failed attempt of a hedged request counts towards the route's limit

Cause: the merge of second attempts with the repeats after 421 left two counters. A failed attempt of a hedged request raised only that of arrivals, so that a third target could get the request although the route allows two. Only hosts with second attempts turned on are concerned; the deploy file has none. Change: it raises both counters. The wait before a repeat is one option instead of two nested ones.

--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -284,11 +284,13 @@
                     ForwardOutcome::Response(_) => {}
                     ForwardOutcome::NotExecuted { reason, reached: was_reached, .. } => {
                         reached += u32::from(was_reached);
+                        counted += u32::from(was_reached);
                         was_refused |= was_reached;
                         last = Some(LocalReply::not_executed(reason, REFUSAL_RETRY_AFTER));
                     }
                     ForwardOutcome::Unknown { status, reason, .. } => {
                         reached += 1;
+                        counted += 1;
                         last = Some(LocalReply::outcome_unknown(status, reason));
                     }
                 }
@@ -333,16 +335,16 @@
                 }
             }
         }
-        let repeat_after = misdirected.then(|| misdirections.record());
+        let repeat_after = if misdirected { misdirections.record() } else { Some(Duration::ZERO) };
         let is_exhausted = counted >= request.rule.max_attempts.max(1)
-            || repeat_after == Some(None)
+            || repeat_after.is_none()
             || unsent >= MAX_UNSENT_ATTEMPTS
             || (is_relayed && is_unreachable && params.key.is_some())
             || Instant::now() >= params.deadline;
         if let Some(last) = last.filter(|_| is_exhausted) {
             return refuse(host, request, last);
         }
-        if let Some(Some(wait)) = repeat_after {
+        if let Some(wait) = repeat_after.filter(|wait| !wait.is_zero()) {
             tokio::time::sleep(wait).await;
         }
         if params.key.is_none() && !may_try_again {
