--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -28,6 +28,7 @@
 use crate::link::RelayReport;
 use crate::link::ShareReport;
 use crate::link::log_limit;
+use crate::ports::TargetDialer;
 
 /// A connection to another host.
 pub(crate) struct PeerLink {
@@ -72,8 +73,12 @@
 }
 
 impl PeerLinks {
-    pub(crate) fn new(host: Rc<ControlHost>, events: mpsc::Sender<LinkEvent>) -> Self {
-        let dialed = DialedPeers::new(events, host.bounds);
+    pub(crate) fn new(
+        host: Rc<ControlHost>,
+        events: mpsc::Sender<LinkEvent>,
+        dialer: Rc<dyn TargetDialer>,
+    ) -> Self {
+        let dialed = DialedPeers::new(events, host.bounds, dialer);
         Self { host, dialed }
     }
 
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -54,7 +54,7 @@
     let peers = SocketAddr::new(settings.address, settings.peer_port);
     let peers = bind("peers", peers).await?;
     let metrics = SocketAddr::new(settings.address, settings.peer_port + 1);
-    let host = ControlHost::new(settings, adapter, dialer, control_address);
+    let host = ControlHost::new(settings, adapter, dialer.clone(), control_address);
     host.load_identity().map_err(|error| RunError::Data(error.to_string()))?;
     let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
     spawn_local(accept_links(peers, events.clone(), host.bounds));
@@ -71,7 +71,7 @@
     let memory = (host.memory.clone(), ConnectionGroup::Callers);
     let count = ConnectionCount::default();
     spawn_local(serve(listener, count.clone(), memory, closing, handler));
-    let mut links = PeerLinks::new(host.clone(), events);
+    let mut links = PeerLinks::new(host.clone(), events, dialer);
     let unreachable = Rc::new(UnreachableTargets::default());
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -39,6 +39,7 @@
 use crate::link::ServiceHeat;
 use crate::link::ShareReport;
 use crate::memory_bounds::MemoryBounds;
+use crate::ports::TargetDialer;
 use crate::targets::send_order;
 
 /// Interval between reports to control hosts.
@@ -54,6 +55,8 @@
 /// How long another control host may be ahead of this host's state before the missing entries are
 /// requested from it.
 const MAX_LAG: Duration = Duration::from_millis(120);
+/// Interval at which a host that reaches no usable control host logs what it knows.
+const CUT_OFF_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Capacity of the queue of connection events.
 const EVENT_QUEUE_LEN: usize = 1024;
 
@@ -79,6 +82,8 @@
     group: ControlChoice,
     /// Whether no control host was usable at the last tick.
     is_cut_off: bool,
+    /// When it was last logged that none is.
+    cut_off_logged_at: Timestamp,
     /// Number of ticks so far.
     ticks: u32,
     /// Connection over which changes are streamed.
@@ -94,16 +99,18 @@
 }
 
 impl ControlLinks {
-    /// Runs until the process ends.
-    pub(crate) async fn run(host: Rc<EntryHost>) {
+    /// Runs until the process ends. Connections are opened by `dialer`.
+    pub(crate) async fn run(host: Rc<EntryHost>, dialer: Rc<dyn TargetDialer>) {
         let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
         let bounds = MemoryBounds::of(host.settings.borrow().memory_bytes);
+        let cut_off_logged_at = host.now();
         let mut links = Self {
             host,
-            dialed: DialedPeers::new(events, bounds),
+            dialed: DialedPeers::new(events, bounds, dialer),
             links: Vec::new(),
             group: ControlChoice::default(),
             is_cut_off: true,
+            cut_off_logged_at,
             ticks: 0,
             stream: None,
             fetch: StateFetch::default(),
@@ -373,6 +380,9 @@
     fn tick(&mut self) {
         let now = self.host.now();
         let is_cut_off = !self.links.iter().any(|link| Self::is_usable(link, now));
+        if is_cut_off || self.is_cut_off {
+            self.log_cut_off(is_cut_off);
+        }
         if is_cut_off != self.is_cut_off {
             self.is_cut_off = is_cut_off;
             self.dial();
@@ -388,6 +398,26 @@
         }
     }
 
+    /// Logs that no control host is usable, and since when, or that one is again.
+    fn log_cut_off(&mut self, is_cut_off: bool) {
+        let now = self.host.now();
+        let learned = self.host.learned.borrow();
+        let (applied, config) = (learned.applied(), learned.state().config_version());
+        if !is_cut_off {
+            log::info!("event=control_reached applied={applied} config={config}");
+        } else if !self.is_cut_off || now.since(self.cut_off_logged_at) >= CUT_OFF_LOG_INTERVAL {
+            self.cut_off_logged_at = now;
+            let hosts: Vec<_> = self.group.hosts.iter().map(|(address, _)| *address).collect();
+            let connected: Vec<_> = self.links.iter().map(|link| link.peer).collect();
+            let since = now.since(self.host.last_contact.get()).as_millis();
+            log::warn!(
+                "event=control_not_reached contact_ms={since} applied={applied} config={config} \
+                 known={hosts:?} seeds={:?} connected={connected:?}",
+                self.host.settings.borrow().seeds,
+            );
+        }
+    }
+
     fn report(&mut self) {
         let now = self.host.now();
         let is_leader = |link: &&ControlLink| link.head.as_ref().is_some_and(|head| head.is_leader);
--- a/crates/gw-gateway/src/entry/run_entry.rs
+++ b/crates/gw-gateway/src/entry/run_entry.rs
@@ -57,11 +57,11 @@
     };
     let grace_time = settings.grace_time;
     let metrics = SocketAddr::new(settings.address, settings.peer_port + 1);
-    let host = EntryHost::new(settings, adapter, dialer);
+    let host = EntryHost::new(settings, adapter, dialer.clone());
     let shared = host.clone();
     spawn_local(serve_metrics(metrics, host.memory.clone(), move || shared.metrics.text()));
     spawn_local(host.memory.clone().run());
-    spawn_local(ControlLinks::run(host.clone()));
+    spawn_local(ControlLinks::run(host.clone(), dialer));
     spawn_local(run_admission(host.clone()));
     spawn_local(watch_path(host.clone()));
     if let Some(listener) = readiness {
--- a/crates/gw-gateway/src/link/dialed_peers.rs
+++ b/crates/gw-gateway/src/link/dialed_peers.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -8,19 +9,25 @@
 use crate::link::LinkEvent;
 use crate::link::maintain_link;
 use crate::memory_bounds::MemoryBounds;
+use crate::ports::TargetDialer;
 
 /// Outgoing connections to other hosts, each maintained by a task that reconnects.
 pub(crate) struct DialedPeers {
     events: mpsc::Sender<LinkEvent>,
     bounds: MemoryBounds,
+    dialer: Rc<dyn TargetDialer>,
     dialed: BTreeMap<SocketAddr, JoinHandle<()>>,
 }
 
 impl DialedPeers {
-    /// Creates an empty set. Events of the connections are sent to `events`; `bounds` limits the frames that wait
-    /// for each of them.
-    pub(crate) fn new(events: mpsc::Sender<LinkEvent>, bounds: MemoryBounds) -> Self {
-        Self { events, bounds, dialed: BTreeMap::new() }
+    /// Creates an empty set. Connections are opened by `dialer`, and their events are sent to
+    /// `events`; `bounds` limits the frames that wait for each of them.
+    pub(crate) fn new(
+        events: mpsc::Sender<LinkEvent>,
+        bounds: MemoryBounds,
+        dialer: Rc<dyn TargetDialer>,
+    ) -> Self {
+        Self { events, bounds, dialer, dialed: BTreeMap::new() }
     }
 
     /// Maintains connections to `wanted` and closes all others.
@@ -35,10 +42,10 @@
             is_wanted
         });
         for peer in wanted {
-            let (events, bounds) = (&self.events, self.bounds);
-            self.dialed
-                .entry(peer)
-                .or_insert_with(|| spawn_local(maintain_link(peer, events.clone(), bounds)));
+            let (events, bounds, dialer) = (&self.events, self.bounds, &self.dialer);
+            self.dialed.entry(peer).or_insert_with(|| {
+                spawn_local(maintain_link(peer, events.clone(), bounds, dialer.clone()))
+            });
         }
     }
 
--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -23,6 +23,7 @@
 use crate::link::frame_decoder::FrameDecoder;
 use crate::link::frame_decoder::ReceivedFrame;
 use crate::memory_bounds::MemoryBounds;
+use crate::ports::TargetDialer;
 use crate::targets::set_socket_options;
 
 /// Longest time to establish a connection.
@@ -91,10 +92,11 @@
     peer: SocketAddr,
     events: mpsc::Sender<LinkEvent>,
     bounds: MemoryBounds,
+    dialer: Rc<dyn TargetDialer>,
 ) {
     let mut is_lost = false;
     loop {
-        match timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await {
+        match timeout(CONNECT_TIMEOUT, dialer.dial(peer)).await {
             Ok(Ok(stream)) => {
                 is_lost = false;
                 run_link(stream, peer, true, events.clone(), bounds).await;
--- a/crates/gw-gateway/src/ports/target_dialer.rs
+++ b/crates/gw-gateway/src/ports/target_dialer.rs
@@ -5,7 +5,7 @@
 
 use tokio::net::TcpStream;
 
-/// Opens connections to targets and to other entry hosts.
+/// Opens connections to targets and to other hosts.
 pub trait TargetDialer {
     /// Opens a connection to `address`.
     fn dial(
