fix(gw-gateway): hosts that reach no control host connect to those that their settings name since

Cause: an entry host chose its control hosts anew only when the list of the group changed and at the moment in which it lost or regained them all. A host that was cut off while every control host that it knew was replaced went on dialing those, and ignored the seeds that its settings had named since; its requests were served by the last state for good. The class: an action at the change of a condition in place of for as long as the condition lasts. Why this works: while no control host is usable, the choice is made with each tick (300 ms) from the settings in force.

--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -382,9 +382,9 @@
         let is_cut_off = !self.links.iter().any(|link| Self::is_usable(link, now));
         if is_cut_off || self.is_cut_off {
             self.log_cut_off(is_cut_off);
-        }
-        if is_cut_off != self.is_cut_off {
             self.is_cut_off = is_cut_off;
+            // The settings may name other control hosts since: those that were known may all have
+            // been replaced meanwhile.
             self.dial();
         }
         self.select_stream();
