fix(gw-gateway): control hosts join through seeds that do not lead

Callers saw: a control host that was added or had lost its disk answered 503 (no leader known) for good, and the group lacked a member, so that a later loss within the tolerance left no majority: changes refused, no configuration read back (CONFIG). Cause: only the leader responds to a request to join, and a host without an id is connected to its seeds alone. In a group of more than three, or after replacements, the leader need not be among them; the host never hears of it. Members that join late make it likely. The class: discovery that depends on who leads. Evidence: host_links: a_control_host_joins_through_seeds_that_do_not_lead failed before (not joined in 30 s), and passes after in 1.5 s. Why this works: followers pass the request on to the leader, once; the leader then connects to the new replica, which also asks over connections that others have opened.

--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -78,20 +78,24 @@
         }
     }
 
-    /// Asks all connected control hosts for a replica id.
+    /// Asks all connected control hosts for a replica id. Those that do not lead pass the request on
+    /// to the leader, which connects to this host once it is a replica.
     pub(crate) fn ask_to_join(&self) {
         let Some(identity) = self.identity.borrow().clone() else { return };
         let settings = self.settings.borrow();
         let peers = SocketAddr::new(settings.address, settings.peer_port);
         let join =
             LinkMessage::Join { folder: identity.folder, peers, calls: self.control_address };
-        for link in self.links.borrow().iter().filter(|link| link.is_outbound) {
+        for link in self.links.borrow().iter().filter(|link| link.is_control()) {
             link.link.send(&join);
         }
     }
 
     /// Handles a request to join the group. Only the leader responds; the replica repeats its
     /// request until it is welcomed.
+    ///
+    /// The seeds of a host need not include the leader, which the host cannot know before it has
+    /// joined. So a follower passes the request on, unless it got it from another replica.
     pub(crate) fn handle_join(
         &self,
         link: LinkHandle,
@@ -100,6 +104,12 @@
         calls: SocketAddr,
     ) {
         if !self.is_confirmed_leader() {
+            let is_passed_on = self.links.borrow().iter().any(|known| {
+                known.link.id == link.id && (known.is_outbound || known.replica.is_some())
+            });
+            if let Some(leader) = self.leader_link().filter(|_| !is_passed_on) {
+                leader.send(&LinkMessage::Join { folder, peers, calls });
+            }
             return;
         }
         let replicas = self.log.borrow().state().replicas().to_vec();
