--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -28,6 +28,7 @@
 use crate::link::RelayReport;
 use crate::link::ShareReport;
 use crate::link::log_limit;
+use crate::ports::TargetDialer;
 
 /// A connection to another host.
 pub(crate) struct PeerLink {
@@ -62,6 +63,10 @@
     pub(crate) fn is_entry(&self) -> bool {
         matches!(self.hello, Some((_, _, HostKind::Entry)))
     }
+
+    pub(crate) fn is_control(&self) -> bool {
+        self.is_outbound || matches!(self.hello, Some((_, _, HostKind::Control)))
+    }
 }
 
 /// Opens connections to other control hosts and handles the events of all connections between
@@ -72,8 +77,12 @@
 }
 
 impl PeerLinks {
-    pub(crate) fn new(host: Rc<ControlHost>, events: mpsc::Sender<LinkEvent>) -> Self {
-        let dialed = DialedPeers::new(events, host.bounds);
+    pub(crate) fn new(
+        host: Rc<ControlHost>,
+        events: mpsc::Sender<LinkEvent>,
+        dialer: Rc<dyn TargetDialer>,
+    ) -> Self {
+        let dialed = DialedPeers::new(events, host.bounds, dialer);
         Self { host, dialed }
     }
 
