fix(gw-gateway): what a control host says about the group counts while it is cut off, too

Cause: an entry host dropped the list of control hosts in a head of one that was not in contact with a majority, and control hosts send the list again only when it changes. A host that knew only such a control host (a seed that was cut off, frozen or not a member any more; the other seeds gone) never connected to the rest, and details that were sent a moment before the sender was current were lost for as long as they stayed the same. The class: a message that is sent once and dropped by the receiver. Why this works: details are kept with the connection until its host is current, and while no control host is usable, those that it names are tried as well.

--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -64,7 +64,11 @@
     link: LinkHandle,
     peer: SocketAddr,
     zone: Option<ZoneName>,
+    /// The newest head, without its details.
     head: Option<HeadMessage>,
+    /// Details that are not taken over yet: those of a control host that is not in contact with a
+    /// majority are kept until it is, since it sends them again only when they change.
+    details: Option<HeadDetails>,
     last_received: Timestamp,
 }
 
@@ -158,6 +162,11 @@
             wanted.extend(seeds);
             wanted.extend(self.group.hosts.iter().map(|(address, _)| *address));
         }
+        if self.is_cut_off {
+            // A control host that is cut off may know others that are not.
+            let details = self.links.iter().filter_map(|link| link.details.as_ref());
+            wanted.extend(details.flat_map(|known| &known.replicas).map(|replica| replica.peers));
+        }
         drop(settings);
         self.dialed.set_peers(wanted);
         let dialed = &self.dialed;
@@ -173,7 +182,8 @@
                 let relay = Some(SocketAddr::new(settings.address, settings.peer_port));
                 link.send(&LinkMessage::Hello { host, zone, kind: HostKind::Entry, relay });
                 let last_received = self.host.now();
-                self.links.push(ControlLink { link, peer, zone: None, head: None, last_received });
+                let (zone, head, details) = (None, None, None);
+                self.links.push(ControlLink { link, peer, zone, head, details, last_received });
             }
             LinkEvent::Closed { id } => {
                 self.links.retain(|link| link.link.id != id);
@@ -195,7 +205,8 @@
         known.last_received = now;
         match message {
             LinkMessage::Hello { zone, .. } => known.zone = Some(zone),
-            LinkMessage::Head(head) => {
+            LinkMessage::Head(mut head) => {
+                known.details = head.details.take().or(known.details.take());
                 known.head = Some(head);
                 self.handle_head(link.id);
             }
@@ -236,9 +247,9 @@
     }
 
     fn handle_head(&mut self, id: LinkId) {
-        let Some(link) = self.links.iter().find(|link| link.link.id == id) else { return };
+        let Some(link) = self.links.iter_mut().find(|link| link.link.id == id) else { return };
         let Some(head) = link.head.clone() else { return };
-        let details = head.details.as_ref();
+        let details = if head.is_current { link.details.take() } else { None };
         let own_zone = self.host.settings.borrow().zone.clone();
         let knows_zone = head.is_leader || link.zone.as_ref() == Some(&own_zone);
         if head.is_current {
@@ -265,7 +276,7 @@
             self.host.throttle.borrow_mut().update(shares, rand::random());
             self.shares_received_at = self.host.now();
         }
-        if let Some(details) = details.filter(|_| head.is_current) {
+        if let Some(details) = details {
             if head.is_leader {
                 let peer = |report: &RelayReport| RelayPeer {
                     address: report.address,
@@ -277,11 +288,10 @@
                 let preferred = PreferredTargets::new(details.zone_hosts.clone());
                 self.host.set_preferred_targets(preferred);
             }
-            self.learn_control_hosts(details);
-        }
-        let now = self.host.now();
-        for entry in details.map_or(&[][..], |details| &details.crashes) {
-            self.host.quarantine.borrow_mut().merge(now, entry);
+            self.learn_control_hosts(&details);
+            let now = self.host.now();
+            let mut quarantine = self.host.quarantine.borrow_mut();
+            details.crashes.iter().for_each(|entry| quarantine.merge(now, entry));
         }
         self.select_stream();
         self.check_progress();
