fix(gw-gateway): hosts that start serve only by a state that was confirmed by a majority

Cause: an entry host that had started took the state of any control host that it reached, also of one that was cut off, frozen or removed and lacked later configurations. It was not ready and denied no route, but it ran requests on the routes that it found. With seeds that name such a control host it did so until it found another one. Evidence: host_links: hosts_that_start_do_not_serve_by_the_state_of_a_host_that_is_cut_off failed before (200, run by the target on a removed route), passes after in 6.4 s. Why this works: requests are served by a configuration only once the state was as recent as that of a control host in contact with a majority; until then they wait as they did without a configuration, then get 503 (state_not_confirmed), also relayed ones. The price: a host that starts while no control host has a majority refuses all requests until one has; those that run go on with what they have.

--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -367,9 +367,8 @@
         let newest = heads.clone().max_by_key(|(_, head)| head.index);
         let has_usable = heads.clone().any(|(link, _)| Self::is_usable(link, now));
         let is_caught_up = newest.is_some_and(|(_, head)| learned.contains(head.index));
-        if !self.host.has_caught_up.get() && has_usable && is_caught_up {
-            log::info!("event=state_current index={}", learned.applied());
-            self.host.has_caught_up.set(true);
+        if has_usable && is_caught_up {
+            self.host.record_caught_up();
         }
         let Some((link, head)) = newest else { return };
         if learned.contains(head.index) {
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -84,7 +84,7 @@
     pub(crate) learned: RefCell<LearnedState>,
     /// Whether the state has once been as recent as that of a control host in contact with a
     /// majority.
-    pub(crate) has_caught_up: Cell<bool>,
+    has_caught_up: Cell<bool>,
     /// When a control host in contact with a majority was last heard.
     pub(crate) last_contact: Cell<Timestamp>,
     pub(crate) pool: RefCell<TargetPool>,
@@ -228,9 +228,16 @@
         self.state().config().cloned()
     }
 
+    /// Returns the configuration by which requests are served. There is none until this host's state
+    /// was once as recent as that of a control host in contact with a majority: one that is cut off
+    /// may lack what was acknowledged since.
+    pub(crate) fn serving_config(&self) -> Option<Arc<RoutingConfig>> {
+        self.config().filter(|_| self.has_caught_up.get())
+    }
+
     /// Whether the load balancer should send callers to this host.
     pub(crate) fn is_ready(&self) -> bool {
-        self.has_caught_up.get() && self.state().config().is_some() && !self.is_stopping.get()
+        self.serving_config().is_some() && !self.is_stopping.get()
     }
 
     /// Whether a request may be sent to a target now: not if this host closes its connections and
@@ -431,12 +438,20 @@
         self.admission_wakeup.notify_one();
     }
 
-    /// Waits until this host has a configuration, at most until `end`.
+    /// Records that the state is as recent as that of a control host in contact with a majority.
+    pub(crate) fn record_caught_up(&self) {
+        if !self.has_caught_up.replace(true) {
+            log::info!("event=state_current index={}", self.applied());
+            self.state_changed.notify_waiters();
+        }
+    }
+
+    /// Waits until this host has a configuration to serve requests by, at most until `end`.
     pub(crate) async fn wait_for_config(&self, end: Instant) {
         let is_configured = async {
             loop {
                 let changed = self.state_changed.notified();
-                if self.config().is_some() {
+                if self.serving_config().is_some() {
                     return;
                 }
                 changed.await;
--- a/crates/gw-gateway/src/entry/read_request.rs
+++ b/crates/gw-gateway/src/entry/read_request.rs
@@ -64,9 +64,9 @@
     host.adapter.read_request_metadata(head).timeout.unwrap_or(DEFAULT_TIMEOUT)
 }
 
-/// Waits, in the first moments of the process, until this host has a configuration.
+/// Waits, in the first moments of the process, until this host has a configuration to serve by.
 pub(crate) async fn wait_for_config(host: &EntryHost, head: &request::Parts, started: Instant) {
-    if host.config().is_none() {
+    if host.serving_config().is_none() {
         let patience = caller_timeout(host, head).mul_f64(STARTUP_WAIT_SHARE);
         host.wait_for_config((host.started_at + STARTUP_TIME).min(started + patience)).await;
     }
@@ -90,8 +90,12 @@
         age = terms.age;
         max_attempts = terms.attempts;
     }
-    let Some(config) = host.config() else {
-        return Err(LocalReply::not_executed("no_configuration", STARTUP_RETRY_AFTER));
+    let Some(config) = host.serving_config() else {
+        let reason = match host.config() {
+            Some(_) => "state_not_confirmed",
+            None => "no_configuration",
+        };
+        return Err(LocalReply::not_executed(reason, STARTUP_RETRY_AFTER));
     };
     let named = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let name = named.or_else(|| head.uri.host()).unwrap_or_default().to_owned();
@@ -136,7 +140,7 @@
     /// Longest time since a control host in contact with a majority was heard.
     const MAX_CONTACT_AGE: Duration = Duration::from_millis(1_500);
     let age = host.now().since(host.last_contact.get());
-    if age > MAX_CONTACT_AGE || !host.has_caught_up.get() {
+    if age > MAX_CONTACT_AGE {
         return LocalReply::not_executed("route_unknown_while_cut_off", STARTUP_RETRY_AFTER);
     }
     LocalReply::client_error(StatusCode::NOT_FOUND, "route_unknown")
