fix(gw-gateway): a removed control host is told so by members that it does not know

Cause: a replica that was removed while it was cut off learns so only from a leader to which it sends a message, and it sends messages only to the members that it knows. If all of them were replaced meanwhile, it is connected to the new ones by its seeds, and none of them says anything.

--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -3,6 +3,9 @@
 
 use gw_agreement::MemberStatus;
 use gw_agreement::MembershipChange;
+use gw_agreement::Message;
+use gw_agreement::MessageBody;
+use gw_agreement::ReplicaNode;
 use gw_fleet::FleetCommand;
 use gw_fleet::ReplicaRecord;
 use gw_fleet::ReplicaView;
@@ -292,6 +295,7 @@
             log::warn!("event=majority_lost replica=none id={id:?}");
             return;
         };
+        self.ask_whether_removed(node);
         let voters = node.membership().voters();
         let is_reached = |id: &&HostId| **id == node.id() || self.link_to(**id).is_some();
         let reached: Vec<_> = voters.iter().filter(is_reached).collect();
@@ -305,6 +309,18 @@
         );
     }
 
+    /// Shows this replica to all connected control hosts, whether or not it knows them as members. A
+    /// leader whose group has removed it says so. While this host was cut off, all members that it
+    /// knows may have been replaced.
+    fn ask_whether_removed(&self, node: &ReplicaNode) {
+        let (from, to) = (node.id(), HostId(0));
+        let message = Message { term: node.term(), body: MessageBody::StaleTerm };
+        let message = LinkMessage::Agreement { from, to, message };
+        for link in self.links.borrow().iter().filter(|link| link.is_control()) {
+            link.link.send(&message);
+        }
+    }
+
     fn record_first_members(&self) {
         let Some(identity) = self.identity.borrow().clone() else { return };
         let port = self.control_address.port();
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -150,15 +150,15 @@
                 });
             }
             LinkMessage::Agreement { from, to, message } => {
-                let own = host.identity.borrow().as_ref().and_then(|identity| identity.id);
-                if own != Some(to) {
-                    return;
-                }
                 let is_removed = host.log.borrow().state().is_removed(from);
                 if is_removed && host.is_confirmed_leader() {
                     link.send(&LinkMessage::Removed { id: from });
                     return;
                 }
+                let own = host.identity.borrow().as_ref().and_then(|identity| identity.id);
+                if own != Some(to) {
+                    return;
+                }
                 update_link(host, &link, |known| known.replica = Some(from));
                 host.handle_agreement(from, message);
             }
