fix(gw-gateway): hosts that start cut off serve by the state that they have after 3 s

Callers saw: in a cut zone, hosts that restarted refused everything until the cut ended. Change: a host looks for a control host in contact with a majority for 3 s, the time after which the platform counts on a host that has a path to one, and serves by what it has then. It is not ready and denies no route, as before.

--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -56,6 +56,10 @@
 
 /// Shortest time between two updates of the target pool.
 const POOL_UPDATE_INTERVAL: Duration = Duration::from_millis(30);
+/// Time after the start within which a host finds a control host in contact with a majority if it can
+/// reach one. A host that has found none is cut off, or there is no majority: it serves by the state
+/// that it has, as hosts do that were running before.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
 /// Fraction of its part of the global retry budget that this host uses. The remainder allows for
 /// requests that other hosts count in a different window.
 const RETRY_BUDGET_SHARE: f64 = 0.8;
@@ -84,7 +88,7 @@
     pub(crate) learned: RefCell<LearnedState>,
     /// Whether the state has once been as recent as that of a control host in contact with a
     /// majority.
-    has_caught_up: Cell<bool>,
+    pub(crate) has_caught_up: Cell<bool>,
     /// When a control host in contact with a majority was last heard.
     pub(crate) last_contact: Cell<Timestamp>,
     pub(crate) pool: RefCell<TargetPool>,
@@ -229,15 +233,17 @@
     }
 
     /// Returns the configuration by which requests are served. There is none until this host's state
-    /// was once as recent as that of a control host in contact with a majority: one that is cut off
-    /// may lack what was acknowledged since.
+    /// was once as recent as that of a control host in contact with a majority, or the host has
+    /// looked for one for [`CONFIRMATION_TIME`]: a control host that is cut off may lack what was
+    /// acknowledged since.
     pub(crate) fn serving_config(&self) -> Option<Arc<RoutingConfig>> {
-        self.config().filter(|_| self.has_caught_up.get())
+        let may_serve = self.has_caught_up.get() || self.started_at.elapsed() >= CONFIRMATION_TIME;
+        self.config().filter(|_| may_serve)
     }
 
     /// Whether the load balancer should send callers to this host.
     pub(crate) fn is_ready(&self) -> bool {
-        self.serving_config().is_some() && !self.is_stopping.get()
+        self.has_caught_up.get() && self.config().is_some() && !self.is_stopping.get()
     }
 
     /// Whether a request may be sent to a target now: not if this host closes its connections and
--- a/crates/gw-gateway/src/entry/read_request.rs
+++ b/crates/gw-gateway/src/entry/read_request.rs
@@ -140,7 +140,7 @@
     /// Longest time since a control host in contact with a majority was heard.
     const MAX_CONTACT_AGE: Duration = Duration::from_millis(1_500);
     let age = host.now().since(host.last_contact.get());
-    if age > MAX_CONTACT_AGE {
+    if age > MAX_CONTACT_AGE || !host.has_caught_up.get() {
         return LocalReply::not_executed("route_unknown_while_cut_off", STARTUP_RETRY_AFTER);
     }
     LocalReply::client_error(StatusCode::NOT_FOUND, "route_unknown")
