perf(gw-gateway): control hosts say at once that they are in contact with a majority

Entry hosts that have just started wait for a control host that is in contact with a majority. Heads are sent each 250 ms, so that they learnt of it 125 ms late on average, for instance after a common loss of power. A head goes out with the next tick (25 ms) now.

--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -156,6 +156,8 @@
     pub(crate) pending_reads: RefCell<Vec<PendingRead>>,
     next_call: Cell<CallId>,
     pub(crate) was_leader: Cell<bool>,
+    /// Whether the last heads said that this host is in contact with a majority.
+    pub(crate) announced_contact: Cell<bool>,
 }
 
 impl ControlHost {
@@ -201,6 +203,7 @@
             pending_reads: RefCell::default(),
             next_call: Cell::new(clock.now().as_nanos()),
             was_leader: Cell::new(false),
+            announced_contact: Cell::new(false),
             clock,
             settings: RefCell::new(settings),
         })
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -254,6 +254,14 @@
     host.record_leaving(&report.leaving, "report");
 }
 
+/// Sends heads at once if this host has come into contact with a majority since the last ones. Entry
+/// hosts that have just started wait for that.
+pub(crate) fn announce_contact(host: &ControlHost) {
+    if host.is_current() && !host.announced_contact.get() {
+        send_heads(host, |_| true);
+    }
+}
+
 /// Sends a head to the entry hosts that have connected since the last tick. After a change of the
 /// leader, hundreds of them connect at once, so that what a head says is worked out once for all.
 pub(crate) fn greet_entry_hosts(host: &ControlHost) {
@@ -267,6 +275,7 @@
 pub(crate) fn send_heads(host: &ControlHost, is_recipient: impl Fn(&PeerLink) -> bool) {
     let now = host.now();
     let (is_current, is_leader) = (host.is_current(), host.is_confirmed_leader());
+    host.announced_contact.set(is_current);
     let log = host.log.borrow();
     let replicas = log.state().replicas();
     let crashes = host.quarantine.borrow().repeated_entries(now);
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -19,6 +19,7 @@
 use crate::control::order_delivery::UnreachableTargets;
 use crate::control::order_delivery::step_granters;
 use crate::control::peer_links::PeerLinks;
+use crate::control::peer_links::announce_contact;
 use crate::control::peer_links::greet_entry_hosts;
 use crate::control::peer_links::send_heads;
 use crate::http_server::ConnectionCount;
@@ -129,6 +130,7 @@
     step_granters(host, unreachable);
     send_cold_targets(host, round == 0);
     if round != 0 {
+        announce_contact(host);
         greet_entry_hosts(host);
         return;
     }
