fix(gw-gateway): hosts that start wait for a majority of control hosts that they reach

Change: a host that is connected to most of the control hosts that it knows waits until they agree; one that is not is cut off with those that it reaches. Evidence: host_links: hosts_that_start_wait_for_control_hosts_that_have_no_majority_yet, new; the test of the cut host passes as well.

--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -151,6 +151,23 @@
         self.dial();
     }
 
+    /// Returns the control hosts that this host knows as members, or that control hosts name which
+    /// are not in contact with a majority.
+    fn named_hosts(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let details = self.links.iter().filter_map(|link| link.details.as_ref());
+        let named = details.flat_map(|details| &details.replicas).map(|replica| replica.peers);
+        self.group.hosts.iter().map(|(address, _)| *address).chain(named)
+    }
+
+    /// Whether this host is connected to most of the control hosts that it knows.
+    fn reaches_majority(&self) -> bool {
+        let mut named: Vec<SocketAddr> = self.named_hosts().collect();
+        named.sort();
+        named.dedup();
+        let is_connected = |peer: &&SocketAddr| self.links.iter().any(|link| link.peer == **peer);
+        2 * named.iter().filter(is_connected).count() > named.len()
+    }
+
     /// Maintains connections to the chosen control hosts, and closes all others. Connects to all
     /// known ones while none is usable.
     fn dial(&mut self) {
@@ -160,12 +177,7 @@
         let mut wanted = self.group.choose(&settings.host, &zone);
         if self.is_cut_off || self.group.hosts.len() <= wanted.len() {
             wanted.extend(seeds);
-            wanted.extend(self.group.hosts.iter().map(|(address, _)| *address));
-        }
-        if self.is_cut_off {
-            // A control host that is cut off may know others that are not.
-            let details = self.links.iter().filter_map(|link| link.details.as_ref());
-            wanted.extend(details.flat_map(|known| &known.replicas).map(|replica| replica.peers));
+            wanted.extend(self.named_hosts());
         }
         drop(settings);
         self.dialed.set_peers(wanted);
@@ -389,6 +401,7 @@
     fn tick(&mut self) {
         let now = self.host.now();
         let is_cut_off = !self.links.iter().any(|link| Self::is_usable(link, now));
+        self.host.reaches_majority.set(self.reaches_majority());
         if is_cut_off || self.is_cut_off {
             self.log_cut_off(is_cut_off);
             self.is_cut_off = is_cut_off;
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -56,9 +56,8 @@
 
 /// Shortest time between two updates of the target pool.
 const POOL_UPDATE_INTERVAL: Duration = Duration::from_millis(30);
-/// Time after the start within which a host finds a control host in contact with a majority if it can
-/// reach one. A host that has found none is cut off, or there is no majority: it serves by the state
-/// that it has, as hosts do that were running before.
+/// Time after the start within which a host connects to the control hosts that it can reach: some
+/// attempts with their timeouts, also to those that others name.
 const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
 /// Fraction of its part of the global retry budget that this host uses. The remainder allows for
 /// requests that other hosts count in a different window.
@@ -89,6 +88,8 @@
     /// Whether the state has once been as recent as that of a control host in contact with a
     /// majority.
     pub(crate) has_caught_up: Cell<bool>,
+    /// Whether this host is connected to most of the control hosts that it knows.
+    pub(crate) reaches_majority: Cell<bool>,
     /// When a control host in contact with a majority was last heard.
     pub(crate) last_contact: Cell<Timestamp>,
     pub(crate) pool: RefCell<TargetPool>,
@@ -171,6 +172,7 @@
             memory,
             learned: RefCell::default(),
             has_caught_up: Cell::new(false),
+            reaches_majority: Cell::new(false),
             last_contact: Cell::new(Timestamp::ZERO),
             pool: RefCell::new(pool),
             current_at: Cell::new(None),
@@ -233,11 +235,13 @@
     }
 
     /// Returns the configuration by which requests are served. There is none until this host's state
-    /// was once as recent as that of a control host in contact with a majority, or the host has
-    /// looked for one for [`CONFIRMATION_TIME`]: a control host that is cut off may lack what was
-    /// acknowledged since.
+    /// was once as recent as that of a control host in contact with a majority: others may lack what
+    /// was acknowledged since. A host that has not reached most control hosts within
+    /// [`CONFIRMATION_TIME`] is cut off with those that it reaches, and serves by their state.
     pub(crate) fn serving_config(&self) -> Option<Arc<RoutingConfig>> {
-        let may_serve = self.has_caught_up.get() || self.started_at.elapsed() >= CONFIRMATION_TIME;
+        let is_cut_off = !self.reaches_majority.get();
+        let may_serve = self.has_caught_up.get()
+            || is_cut_off && self.started_at.elapsed() >= CONFIRMATION_TIME;
         self.config().filter(|_| may_serve)
     }
 
