--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -56,6 +56,9 @@
 
 /// Shortest time between two updates of the target pool.
 const POOL_UPDATE_INTERVAL: Duration = Duration::from_millis(30);
+/// Time after the start within which a host connects to the control hosts that it can reach: some
+/// attempts with their timeouts, also to those that others name.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
 /// Fraction of its part of the global retry budget that this host uses. The remainder allows for
 /// requests that other hosts count in a different window.
 const RETRY_BUDGET_SHARE: f64 = 0.8;
@@ -84,7 +87,9 @@
     pub(crate) learned: RefCell<LearnedState>,
     /// Whether the state has once been as recent as that of a control host in contact with a
     /// majority.
-    has_caught_up: Cell<bool>,
+    pub(crate) has_caught_up: Cell<bool>,
+    /// Whether this host is connected to most of the control hosts that it knows.
+    pub(crate) reaches_majority: Cell<bool>,
     /// When a control host in contact with a majority was last heard.
     pub(crate) last_contact: Cell<Timestamp>,
     pub(crate) pool: RefCell<TargetPool>,
@@ -167,6 +172,7 @@
             memory,
             learned: RefCell::default(),
             has_caught_up: Cell::new(false),
+            reaches_majority: Cell::new(false),
             last_contact: Cell::new(Timestamp::ZERO),
             pool: RefCell::new(pool),
             current_at: Cell::new(None),
@@ -229,15 +235,19 @@
     }
 
     /// Returns the configuration by which requests are served. There is none until this host's state
-    /// was once as recent as that of a control host in contact with a majority: one that is cut off
-    /// may lack what was acknowledged since.
+    /// was once as recent as that of a control host in contact with a majority: others may lack what
+    /// was acknowledged since. A host that has not reached most control hosts within
+    /// [`CONFIRMATION_TIME`] is cut off with those that it reaches, and serves by their state.
     pub(crate) fn serving_config(&self) -> Option<Arc<RoutingConfig>> {
-        self.config().filter(|_| self.has_caught_up.get())
+        let is_cut_off = !self.reaches_majority.get();
+        let may_serve = self.has_caught_up.get()
+            || is_cut_off && self.started_at.elapsed() >= CONFIRMATION_TIME;
+        self.config().filter(|_| may_serve)
     }
 
     /// Whether the load balancer should send callers to this host.
     pub(crate) fn is_ready(&self) -> bool {
-        self.serving_config().is_some() && !self.is_stopping.get()
+        self.has_caught_up.get() && self.config().is_some() && !self.is_stopping.get()
     }
 
     /// Whether a request may be sent to a target now: not if this host closes its connections and
