fix(gw-gateway): a stop accepts only the connections that wait when its listener closes

Callers saw: hosts that were told to stop went on accepting and refusing callers that connect again at once, for up to 3 s after the listener should have closed, and ended with open connections. Cause: after the closing, serve_callers accepted as long as another connection came within a timer tick (1 to 2 ms). Each one was answered and closed in that time, so that its caller connected again. Change: the listener becomes a non-blocking socket of the standard library, from which all that waits is accepted without yielding, for 100 ms at most; then it is closed. Callers cannot connect again meanwhile as a result of the stop, and what came before is not lost to a readiness event that was not polled yet.

--- a/crates/gw-gateway/src/callers/caller_server.rs
+++ b/crates/gw-gateway/src/callers/caller_server.rs
@@ -20,6 +20,7 @@
 use crate::http_server::ACCEPT_RETRY_DELAY;
 use crate::http_server::ConnectionCount;
 use crate::http_server::ConnectionGuard;
+use crate::http_server::take_waiting;
 use crate::memory::MemoryGate;
 
 /// Limits of a caller's connection.
@@ -62,7 +63,7 @@
 }
 
 /// Serves callers until `closing` becomes true. Connections that were established by then are still
-/// served: each gets a response to the requests that it has sent.
+/// served: each gets a response to the requests that it has sent. Later ones are refused.
 pub(crate) async fn serve_callers<H: CallerHandler + 'static>(
     listener: TcpListener,
     count: ConnectionCount,
@@ -96,8 +97,5 @@
             _ = closing.wait_for(|closing| *closing) => break,
         }
     }
-    // Dropping the listener resets the connections that wait to be accepted.
-    while let Ok(Ok(accepted)) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
-        start(accepted);
-    }
+    take_waiting(listener).into_iter().for_each(start);
 }
--- a/crates/gw-gateway/src/http_server.rs
+++ b/crates/gw-gateway/src/http_server.rs
@@ -1,6 +1,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 use crate::memory::ConnectionMemory;
 use crate::memory::MemoryGate;
@@ -33,6 +35,10 @@
 /// configured.
 pub(crate) const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest time for which connections are accepted when a listener closes. No other task runs
+/// meanwhile.
+const LAST_ACCEPTS_TIME: Duration = Duration::from_millis(100);
+
 /// Number of open connections of a server; clones share the count.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ConnectionCount(Rc<Cell<usize>>);
@@ -60,6 +66,34 @@
     }
 }
 
+/// Closes a listener and returns the connections that waited to be accepted, which closing it would
+/// reset.
+///
+/// Does not yield, so that callers whose connections end because the host stops cannot connect again
+/// meanwhile.
+pub(crate) fn take_waiting(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let mut accepted = Vec::new();
+    let end = Instant::now() + LAST_ACCEPTS_TIME;
+    let taken = listener.into_std().and_then(|listener| {
+        while Instant::now() < end {
+            let (stream, peer) = match listener.accept() {
+                Ok(connection) => connection,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                // The caller has left; others may wait behind it.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
+                Err(error) => return Err(error),
+            };
+            stream.set_nonblocking(true)?;
+            accepted.push((TcpStream::from_std(stream)?, peer));
+        }
+        Ok(())
+    });
+    if let Err(error) = taken {
+        log::warn!("event=accept_failed cause=\"{error}\"");
+    }
+    accepted
+}
+
 /// Serves HTTP/1.1 connections. Once `closing` is true, stops accepting, closes idle connections,
 /// and closes the others after their current response.
 ///
