fix(gw-gateway): connections to hosts that are not wanted any more are closed and reported

What was seen: nothing yet by callers. Each peer that an entry or control host drops (entry hosts in groups of more than five control hosts drop some with each change of the group) kept one descriptor and one task until the process ended. Cause: DialedPeers aborted maintain_link, but run_link had spawned its writer as a task of its own, which waited for frames for ever and held the write half of the socket. Nor was a Closed event sent for an aborted connection: one whose Opened event was still queued entered ControlLinks::links after its peer had been dropped, and stayed there if the peer was dialed again before the next check. Change: reading and writing run in one task, so that neither outlives the other. Dropping a peer ends its connection in order in place of an abort: the socket is closed, and each Opened has its Closed. A writer that cannot write still leaves the end of the connection to the reader, as before.

--- a/crates/gw-gateway/src/link/dialed_peers.rs
+++ b/crates/gw-gateway/src/link/dialed_peers.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
+use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
 use crate::link::LinkEvent;
@@ -13,7 +13,8 @@
 pub(crate) struct DialedPeers {
     events: mpsc::Sender<LinkEvent>,
     bounds: MemoryBounds,
-    dialed: BTreeMap<SocketAddr, JoinHandle<()>>,
+    /// By address of the other host. Dropping the sender closes the connection.
+    dialed: BTreeMap<SocketAddr, oneshot::Sender<()>>,
 }
 
 impl DialedPeers {
@@ -27,18 +28,18 @@
     pub(crate) fn set_peers(&mut self, mut wanted: Vec<SocketAddr>) {
         wanted.sort();
         wanted.dedup();
-        self.dialed.retain(|peer, task| {
-            let is_wanted = wanted.binary_search(peer).is_ok();
-            if !is_wanted {
-                task.abort();
-            }
-            is_wanted
-        });
+        self.dialed.retain(|peer, _| wanted.binary_search(peer).is_ok());
         for peer in wanted {
             let (events, bounds) = (&self.events, self.bounds);
-            self.dialed
-                .entry(peer)
-                .or_insert_with(|| spawn_local(maintain_link(peer, events.clone(), bounds)));
+            self.dialed.entry(peer).or_insert_with(|| {
+                let (wanted, dropped) = oneshot::channel();
+                let unwanted = async move {
+                    // Nothing is sent: it ends with an error once the sender is dropped.
+                    dropped.await.ok();
+                };
+                spawn_local(maintain_link(peer, events.clone(), bounds, unwanted));
+                wanted
+            });
         }
     }
 
--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -1,4 +1,6 @@
 use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -76,7 +78,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                spawn_local(run_link(stream, peer, false, events.clone(), bounds));
+                let (events, unwanted) = (events.clone(), std::future::pending());
+                spawn_local(run_link(stream, (peer, false), events, bounds, unwanted));
             }
             Err(error) => {
                 log::warn!("event=accept_failed listener=peers cause=\"{error}\"");
@@ -86,18 +89,27 @@
     }
 }
 
-/// Maintains a connection to `peer` until the task is aborted; reconnects when the connection ends.
+/// Maintains a connection to `peer` until `unwanted` ends; reconnects when the connection ends.
 pub(crate) async fn maintain_link(
     peer: SocketAddr,
     events: mpsc::Sender<LinkEvent>,
     bounds: MemoryBounds,
+    unwanted: impl Future<Output = ()>,
 ) {
+    tokio::pin!(unwanted);
     let mut is_lost = false;
     loop {
-        match timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await {
+        let connected = tokio::select! {
+            connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)) => connected,
+            () = unwanted.as_mut() => return,
+        };
+        match connected {
             Ok(Ok(stream)) => {
                 is_lost = false;
-                run_link(stream, peer, true, events.clone(), bounds).await;
+                let end = run_link(stream, (peer, true), events.clone(), bounds, unwanted.as_mut());
+                if end.await == LinkEnd::Unwanted {
+                    return;
+                }
             }
             failed => {
                 if !is_lost {
@@ -107,17 +119,31 @@
                 is_lost = true;
             }
         }
-        tokio::time::sleep(RECONNECT_DELAY).await;
+        tokio::select! {
+            () = tokio::time::sleep(RECONNECT_DELAY) => {}
+            () = unwanted.as_mut() => return,
+        }
     }
 }
 
+/// Why a connection has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkEnd {
+    /// It was closed or has failed.
+    Lost,
+    /// This host wants no connection to the other one any more.
+    Unwanted,
+}
+
+/// Runs a connection until it ends, at the latest when `unwanted` does. For each `Opened` event there
+/// is a `Closed` one, and the socket is closed when this returns or is dropped.
 async fn run_link(
     stream: TcpStream,
-    peer: SocketAddr,
-    is_outbound: bool,
+    (peer, is_outbound): (SocketAddr, bool),
     events: mpsc::Sender<LinkEvent>,
     bounds: MemoryBounds,
-) {
+    unwanted: impl Future<Output = ()>,
+) -> LinkEnd {
     if let Err(error) = set_socket_options(&stream) {
         log::warn!("event=socket_option_failed peer={peer} cause=\"{error}\"");
     }
@@ -128,18 +154,28 @@
     let (id, frames) = (link.id, link.frames.clone());
     let opened = LinkEvent::Opened { link: link.clone(), peer, is_outbound };
     if events.send(opened).await.is_err() {
-        return;
+        return LinkEnd::Lost;
     }
     let (reader, writer) = stream.into_split();
     let last_progress = Rc::new(Cell::new(Instant::now()));
-    let writing = spawn_local(write_frames(writer, frames.clone(), last_progress.clone()));
-    let end = read_frames(reader, link, is_outbound, &events, last_progress).await;
-    writing.abort();
+    let writing = async {
+        write_frames(writer, frames.clone(), last_progress.clone()).await;
+        // The reading side detects a broken connection as well and reports it.
+        std::future::pending::<Infallible>().await
+    };
+    // In one task, so that neither side can outlive the other and keep the socket open.
+    let (end, cause) = tokio::select! {
+        end = read_frames(reader, link, is_outbound, &events, last_progress.clone()) => {
+            (LinkEnd::Lost, end.map_or_else(|error| error.to_string(), |()| "closed".to_owned()))
+        }
+        never = writing => match never {},
+        () = unwanted => (LinkEnd::Unwanted, "unwanted".to_owned()),
+    };
     frames.close();
-    let cause = end.map_or_else(|error| error.to_string(), |()| "closed".to_owned());
     log::info!("event=link_closed peer={peer} cause=\"{cause}\"");
     // The receiver is gone only when the process ends.
     events.send(LinkEvent::Closed { id }).await.ok();
+    end
 }
 
 async fn write_frames(
@@ -153,7 +189,6 @@
             match writer.try_write(&bytes) {
                 Ok(sent) if sent > 0 => bytes.advance(sent),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    // The reading side detects a broken connection as well and reports it.
                     let Ok(Ok(())) = timeout(SILENCE_TIMEOUT, writer.writable()).await else {
                         return;
                     };
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -3,6 +3,9 @@
 mod cold_message;
 mod dialed_peers;
 #[cfg(test)]
+#[path = "../../tests/link/dropped_peers.rs"]
+mod dropped_peers;
+#[cfg(test)]
 #[path = "../../tests/link/earlier_frames.rs"]
 mod earlier_frames;
 #[cfg(test)]
