fix(gw-gateway): a control host that stops answers the calls that it has read

Callers saw: the connection of a call that was read whole ended without an answer when its control host was told to stop, up to 0.9 s after its last byte (the platform's rule LOST). Cause: the process ended 700 ms after the signal in any case, but a call may take 900 ms to be decided, and a large one waits 800 ms more for another. Change: the process ends when all connections for calls have ended, 700 ms after the signal at the earliest and 300 ms before the end of the grace time at the latest. Meanwhile it goes on as a follower that leaves.

--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -39,8 +39,10 @@
 const TICKS_PER_ROUND: u32 = 10;
 /// Capacity of the queue of connection events.
 const EVENT_QUEUE_LEN: usize = 4096;
-/// Time between handing over the leadership and the exit, in which the last responses are sent.
+/// Least time between handing over the leadership and the exit. Calls under way may take longer.
 const SHUTDOWN_TIME: Duration = Duration::from_millis(700);
+/// Margin before the end of the grace time, within which the process exits by itself.
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(300);
 
 /// Runs a control host until it is told to stop.
 pub(crate) async fn run_control(
@@ -78,6 +80,7 @@
     let stop = shutdown_signal();
     tokio::pin!(stop);
     let mut round = 0;
+    // Earliest and latest time of the exit, once the host has been told to stop.
     let mut end = None;
     loop {
         tokio::select! {
@@ -90,10 +93,15 @@
                 received?;
                 closer.send_replace(true);
                 step_down(&host);
-                end = Some(Instant::now() + SHUTDOWN_TIME);
+                let grace_time = host.settings.borrow().grace_time.saturating_sub(SHUTDOWN_MARGIN);
+                let now = Instant::now();
+                end = Some((now + SHUTDOWN_TIME, now + grace_time.max(SHUTDOWN_TIME)));
             }
         }
-        if end.is_some_and(|end| Instant::now() >= end) {
+        let now = Instant::now();
+        let has_ended =
+            |(least, most): (Instant, Instant)| now >= most || now >= least && count.get() == 0;
+        if end.is_some_and(has_ended) {
             log::info!("event=stopped connections={}", count.get());
             return Ok(());
         }
