fix(gw-gateway): a stop lasts as long as the grace time in force

Callers saw: after a change of grace-s in the settings file, an entry host that was told to stop used the grace time of its start; with a shorter one in force the platform kills it with requests under way. Cause: run_entry read the grace time once, before the settings were watched. Change: it is read when the host is told to stop. Result: a_stop_ends_within_the_grace_time_in_force (new, 6 s changed to 2 s): failed before (the host ended after 2.65 s), passes in 2 of 2 runs.

--- a/crates/gw-gateway/src/entry/run_entry.rs
+++ b/crates/gw-gateway/src/entry/run_entry.rs
@@ -55,7 +55,6 @@
         Some(address) => Some(bind("readiness", address).await?),
         None => None,
     };
-    let grace_time = settings.grace_time;
     let metrics = SocketAddr::new(settings.address, settings.peer_port + 1);
     let host = EntryHost::new(settings, adapter, dialer);
     let shared = host.clone();
@@ -81,6 +80,7 @@
     }
     shutdown_signal().await?;
     host.is_stopping.set(true);
+    let grace_time = host.settings.borrow().grace_time;
     let end = tokio::time::Instant::now() + grace_time.saturating_sub(SHUTDOWN_MARGIN);
     host.stops_at.set(Some(end));
     log::info!("event=stopping connections={}", count.get());
