--- a/crates/gw-gateway/src/link/dialed_peers.rs
+++ b/crates/gw-gateway/src/link/dialed_peers.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
+use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
 use crate::link::LinkEvent;
@@ -16,7 +16,8 @@
     events: mpsc::Sender<LinkEvent>,
     bounds: MemoryBounds,
     dialer: Rc<dyn TargetDialer>,
-    dialed: BTreeMap<SocketAddr, JoinHandle<()>>,
+    /// By address of the other host. Dropping the sender closes the connection.
+    dialed: BTreeMap<SocketAddr, oneshot::Sender<()>>,
 }
 
 impl DialedPeers {
@@ -34,17 +35,18 @@
     pub(crate) fn set_peers(&mut self, mut wanted: Vec<SocketAddr>) {
         wanted.sort();
         wanted.dedup();
-        self.dialed.retain(|peer, task| {
-            let is_wanted = wanted.binary_search(peer).is_ok();
-            if !is_wanted {
-                task.abort();
-            }
-            is_wanted
-        });
+        self.dialed.retain(|peer, _| wanted.binary_search(peer).is_ok());
         for peer in wanted {
             let (events, bounds, dialer) = (&self.events, self.bounds, &self.dialer);
             self.dialed.entry(peer).or_insert_with(|| {
-                spawn_local(maintain_link(peer, events.clone(), bounds, dialer.clone()))
+                let (wanted, dropped) = oneshot::channel();
+                let unwanted = async move {
+                    // Nothing is sent: it ends with an error once the sender is dropped.
+                    dropped.await.ok();
+                };
+                let (events, dialer) = (events.clone(), dialer.clone());
+                spawn_local(maintain_link(peer, events, bounds, dialer, unwanted));
+                wanted
             });
         }
     }
