fix(gw-gateway): requests to join reach a leader that the host does not know

Callers saw: nothing at first. A control host that had lost its disk, or was added at a new address, stayed out of the group for good, so that the group got smaller with each loss until it had no majority. Cause: only the leader responds to a request to join, and the host sends it to its three seeds. In a group of more than three, another host usually leads. Seen in a run of nine control hosts with random faults: three hosts wiped at once had no id 100 s later. Change: members that do not lead pass the request on to the leader, once, and welcome a host that their own state contains. Evidence: control_join/a_host_joins_through_seeds_that_do_not_lead failed after 30 s and passes in 4 s.

--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -90,8 +90,8 @@
         }
     }
 
-    /// Handles a request to join the group. Only the leader responds; the replica repeats its
-    /// request until it is welcomed.
+    /// Handles a request to join the group. Only the leader decides it; the others pass it on, since
+    /// a new replica may know none but them. The replica repeats its request until it is welcomed.
     pub(crate) fn handle_join(
         &self,
         link: LinkHandle,
@@ -100,6 +100,7 @@
         calls: SocketAddr,
     ) {
         if !self.is_confirmed_leader() {
+            self.forward_join(&link, folder, peers, calls);
             return;
         }
         let replicas = self.log.borrow().state().replicas().to_vec();
@@ -126,6 +127,26 @@
         self.propose(FleetCommand::AddReplica { folder, peers, calls });
     }
 
+    /// Answers a request to join that the group has granted, and passes any other on to the leader,
+    /// unless a member has passed it on to this host.
+    fn forward_join(&self, link: &LinkHandle, folder: u64, peers: SocketAddr, calls: SocketAddr) {
+        let replicas = self.log.borrow().state().replicas().to_vec();
+        let is_member = |id: HostId| replicas.iter().any(|replica| replica.id == id);
+        let is_from_member = self
+            .links
+            .borrow()
+            .iter()
+            .any(|known| known.link.id == link.id && known.replica.is_some_and(is_member));
+        if is_from_member || !self.is_current() {
+            return;
+        }
+        if let Some(known) = replicas.iter().find(|replica| replica.folder == folder) {
+            link.send(&LinkMessage::Welcome { id: known.id, replicas });
+        } else if let Some(leader) = self.leader_link() {
+            leader.send(&LinkMessage::Join { folder, peers, calls });
+        }
+    }
+
     /// Stores the id that the group has assigned.
     pub(crate) fn handle_welcome(&self, id: HostId, replicas: Vec<ReplicaRecord>) {
         let Some(mut identity) = self.identity.borrow().clone() else { return };
