fix(gw-gateway): connections that are given up are closed

Callers saw: nothing yet. Each time an entry host gave up a connection to a control host, its socket stayed open on the host's side and took a descriptor until the process ended; a connection that was opened just before it was given up stayed in the list of links without ever being closed. Cause: aborting the task of a connection did not end the task that writes to it, which holds half of the socket and the queue of frames. Change: the writing task ends with the one that started it, and closes the queue; entry hosts drop links whose queue is closed.

--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -160,6 +160,10 @@
     fn handle_event(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Opened { link, peer, .. } => {
+                if link.is_closed() {
+                    // It was given up before this event.
+                    return;
+                }
                 log::info!("event=control_connected peer={peer}");
                 let settings = self.host.settings.borrow();
                 let (host, zone) = (settings.host.clone(), settings.zone.clone());
@@ -372,6 +376,7 @@
 
     fn tick(&mut self) {
         let now = self.host.now();
+        self.links.retain(|link| !link.link.is_closed());
         let is_cut_off = !self.links.iter().any(|link| Self::is_usable(link, now));
         if is_cut_off != self.is_cut_off {
             self.is_cut_off = is_cut_off;
--- a/crates/gw-gateway/src/link/frame_queue.rs
+++ b/crates/gw-gateway/src/link/frame_queue.rs
@@ -87,6 +87,11 @@
         self.changed.notify_one();
     }
 
+    /// Whether the connection has ended.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.is_closed.get()
+    }
+
     /// Drops the frames and rejects further ones.
     pub(crate) fn close(&self) {
         self.is_closed.set(true);
--- a/crates/gw-gateway/src/link/link_handle.rs
+++ b/crates/gw-gateway/src/link/link_handle.rs
@@ -38,6 +38,11 @@
         self.version() >= format
     }
 
+    /// Whether the connection has ended.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.frames.is_closed()
+    }
+
     /// Queues a message. Returns `false` and drops it if the connection has ended or its queue is
     /// full; protocols on top of it repeat the messages that matter.
     pub(crate) fn send(&self, message: &LinkMessage) -> bool {
--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -132,16 +133,30 @@
     }
     let (reader, writer) = stream.into_split();
     let last_progress = Rc::new(Cell::new(Instant::now()));
-    let writing = spawn_local(write_frames(writer, frames.clone(), last_progress.clone()));
+    let task = spawn_local(write_frames(writer, frames.clone(), last_progress.clone()));
+    let writing = WritingSide { task, frames };
     let end = read_frames(reader, link, is_outbound, &events, last_progress).await;
-    writing.abort();
-    frames.close();
+    drop(writing);
     let cause = end.map_or_else(|error| error.to_string(), |()| "closed".to_owned());
     log::info!("event=link_closed peer={peer} cause=\"{cause}\"");
     // The receiver is gone only when the process ends.
     events.send(LinkEvent::Closed { id }).await.ok();
 }
 
+/// The task that writes to a connection. Ends with the connection, also if the task of the connection is
+/// aborted: the socket would stay open, and the link would take frames for it.
+struct WritingSide {
+    task: JoinHandle<()>,
+    frames: Rc<FrameQueue>,
+}
+
+impl Drop for WritingSide {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.frames.close();
+    }
+}
+
 async fn write_frames(
     writer: tokio::net::tcp::OwnedWriteHalf,
     frames: Rc<FrameQueue>,
