fix(gw-fleet, gw-gateway): a control host that does not answer is given up after 1 s, others are asked

Callers saw: an entry host without a state, or with an old one, for 4 s and longer beside control hosts with the newest one. Cause: a request for missing entries was waited for as long as any byte arrived, and heads arrive four times a second; after 4 s the same host was asked again. Whether a control host was ever seen to send heads and not to answer is not known; it does so while the frames for entry hosts use up their memory. Change: only parts of incomplete messages count as progress of a reply; a host that has not answered is asked, and streamed from, only if no other will do.

--- a/crates/gw-fleet/src/lib.rs
+++ b/crates/gw-fleet/src/lib.rs
@@ -38,6 +38,7 @@
 pub use replica_view::Successor;
 pub use replica_view::lost_replica;
 pub use run_replacements::RunReplacements;
+pub use state_fetch::LinkProgress;
 pub use state_fetch::StateFetch;
 pub use stored_config::StoredConfig;
 pub use target_record::TargetPhase;
--- a/crates/gw-fleet/tests/state_fetch.rs
+++ b/crates/gw-fleet/tests/state_fetch.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use gw_fleet::LinkProgress;
 use gw_fleet::StateFetch;
 use gw_types::Timestamp;
 
@@ -31,6 +32,11 @@
     last_byte: Timestamp,
 }
 
+/// A connection that delivered a part of a state at `time`, and nothing since.
+fn delivered_at(time: Timestamp) -> LinkProgress {
+    LinkProgress { last_byte: time, last_part: time }
+}
+
 /// Returns the number of copies sent and when the first one was complete.
 fn restart_over_slow_link(
     case: &SlowLinkCase,
@@ -109,7 +115,7 @@
 fn a_restarted_host_receives_one_copy_over_a_slow_link() {
     for case in &CASES {
         let (copies, complete) = restart_over_slow_link(case, |fetch, now, last_byte| {
-            fetch.may_start(now, |_| Some(last_byte))
+            fetch.may_start(now, |_| Some(delivered_at(last_byte)))
         });
         assert!(copies <= case.max_copies, "{}: {copies} copies", case.name);
         let complete = complete.unwrap_or(Duration::MAX);
@@ -137,10 +143,27 @@
 fn a_lost_connection_ends_the_wait() {
     let mut fetch = StateFetch::default();
     fetch.start(Timestamp::ZERO, 1);
-    assert!(!fetch.may_start(Timestamp::ZERO, |_| Some(Timestamp::ZERO)));
+    assert!(!fetch.may_start(Timestamp::ZERO, |_| Some(delivered_at(Timestamp::ZERO))));
     assert!(fetch.may_start(Timestamp::ZERO, |_| None));
     fetch.finish(2);
-    assert!(!fetch.may_start(Timestamp::ZERO, |_| Some(Timestamp::ZERO)));
+    assert!(!fetch.may_start(Timestamp::ZERO, |_| Some(delivered_at(Timestamp::ZERO))));
+    fetch.finish(1);
+    assert!(fetch.may_start(Timestamp::ZERO, |_| Some(delivered_at(Timestamp::ZERO))));
+}
+
+/// Guards against waiting for seconds for a control host that sends heads and does not answer, and against
+/// asking it again before others.
+#[test]
+fn a_host_that_does_not_answer_is_given_up() {
+    let after = |millis| Timestamp::ZERO + Duration::from_millis(millis);
+    let heads = |now| move |_| Some(LinkProgress { last_byte: now, last_part: Timestamp::ZERO });
+    let mut fetch = StateFetch::default();
+    fetch.start(Timestamp::ZERO, 1);
+    assert!(!fetch.may_start(after(900), heads(after(900))));
+    assert!(fetch.may_start(after(1_000), heads(after(1_000))));
+    fetch.start(after(1_000), 2);
+    fetch.finish(2);
+    assert!(fetch.is_unanswered(1) && !fetch.is_unanswered(2));
     fetch.finish(1);
-    assert!(fetch.may_start(Timestamp::ZERO, |_| Some(Timestamp::ZERO)));
+    assert!(!fetch.is_unanswered(1));
 }
--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -9,6 +9,7 @@
 use gw_fleet::ControlChoice;
 use gw_fleet::FleetState;
 use gw_fleet::FormatVersion;
+use gw_fleet::LinkProgress;
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
@@ -305,7 +306,9 @@
         let own_zone = self.host.settings.borrow().zone.clone();
         let usable = self.links.iter().filter(|link| Self::is_usable(link, now));
         let best = usable.max_by_key(|link| {
-            (link.zone.as_ref() == Some(&own_zone), self.stream == Some(link.link.id))
+            let id = link.link.id;
+            let is_same_zone = link.zone.as_ref() == Some(&own_zone);
+            (!self.fetch.is_unanswered(id), is_same_zone, self.stream == Some(id))
         });
         let Some(best) = best.map(|link| link.link.clone()) else { return };
         if self.stream == Some(best.id) {
@@ -326,11 +329,12 @@
 
     /// Whether no reply with missing entries is on its way.
     fn may_fetch(&self) -> bool {
-        let last_byte = |id: LinkId| {
-            let link = self.links.iter().find(|link| link.link.id == id)?;
-            Some(link.link.last_byte.get())
+        let progress = |id: LinkId| {
+            let link = &self.links.iter().find(|link| link.link.id == id)?.link;
+            let (last_byte, last_part) = (link.last_byte.get(), link.last_part.get());
+            Some(LinkProgress { last_byte, last_part })
         };
-        self.fetch.may_start(self.host.now(), last_byte)
+        self.fetch.may_start(self.host.now(), progress)
     }
 
     /// Requests the entries after this host's state, unless a reply is already on its way.
@@ -358,17 +362,21 @@
             log::info!("event=state_current index={}", learned.applied());
             self.host.has_caught_up.set(true);
         }
-        let Some((link, head)) = newest else { return };
+        let Some((_, head)) = newest else { return };
         if learned.contains(head.index) {
             self.behind_since = None;
             return;
         }
         let applied = learned.applied();
-        drop(learned);
+        let ahead = heads.filter(|(_, head)| !learned.contains(head.index));
+        let source =
+            ahead.max_by_key(|(link, head)| (!self.fetch.is_unanswered(link.link.id), head.index));
+        let Some((link, _)) = source else { return };
         let since = *self.behind_since.get_or_insert(now);
         if now.since(since) > MAX_LAG && self.may_fetch() {
             log::info!("event=state_behind applied={applied} known={}", head.index);
             let link = link.link.clone();
+            drop(learned);
             self.behind_since = Some(now);
             self.request_entries(&link);
         }
--- a/crates/gw-gateway/src/link/frame_decoder.rs
+++ b/crates/gw-gateway/src/link/frame_decoder.rs
@@ -59,6 +59,11 @@
         Ok(None)
     }
 
+    /// Whether a part of a message has been received.
+    pub(crate) fn holds_part(&self) -> bool {
+        !self.buffer.is_empty() || !self.fragments.is_empty()
+    }
+
     /// Adds a fragment that is followed by `left` bytes, and returns the frame if it is complete.
     /// Fails if a fragment is missing or a frame is too large.
     fn add_fragment(&mut self, left: usize, bytes: &[u8]) -> io::Result<Option<BytesMut>> {
--- a/crates/gw-gateway/src/link/link_handle.rs
+++ b/crates/gw-gateway/src/link/link_handle.rs
@@ -16,6 +16,8 @@
     pub(crate) id: LinkId,
     /// When the connection last delivered data.
     pub(crate) last_byte: Rc<Cell<Timestamp>>,
+    /// When the connection last delivered a part of a message that was not complete.
+    pub(crate) last_part: Rc<Cell<Timestamp>>,
     /// Version that the other host has stated in its first message.
     pub(super) version: Rc<Cell<FormatVersion>>,
     pub(super) frames: Rc<FrameQueue>,
@@ -24,8 +26,9 @@
 impl LinkHandle {
     pub(crate) fn new(id: LinkId, opened_at: Timestamp, bounds: MemoryBounds) -> Self {
         let last_byte = Rc::new(Cell::new(opened_at));
+        let last_part = Rc::new(Cell::new(opened_at));
         let version = Rc::new(Cell::new(FormatVersion::UNSTATED));
-        Self { id, last_byte, version, frames: Rc::new(FrameQueue::new(bounds)) }
+        Self { id, last_byte, last_part, version, frames: Rc::new(FrameQueue::new(bounds)) }
     }
 
     /// Returns the version of the other host; [`FormatVersion::UNSTATED`] until its first message.
--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -189,6 +189,7 @@
     last_progress: Rc<Cell<Instant>>,
 ) -> io::Result<()> {
     let mut decoder = FrameDecoder::new();
+    let mut has_received = false;
     loop {
         while let Some(ReceivedFrame { message, version }) = decoder.next()? {
             if let Some(version) = version {
@@ -208,6 +209,9 @@
                 }
             }
         }
+        if std::mem::take(&mut has_received) && decoder.holds_part() {
+            link.last_part.set(BootClock.now());
+        }
         let received = timeout(PING_INTERVAL, reader.read_buf(&mut decoder.buffer)).await;
         let is_idle = link.frames.last_push().elapsed() >= MAX_SEND_INTERVAL;
         if is_outbound && (received.is_err() || is_idle) {
@@ -218,6 +222,7 @@
             Ok(Ok(_)) => {
                 last_progress.set(Instant::now());
                 link.last_byte.set(BootClock.now());
+                has_received = true;
             }
             Ok(Err(error)) => return Err(error),
             Err(_) if last_progress.get().elapsed() > SILENCE_TIMEOUT => {
