fix(gw-gateway): entry hosts use what a control host says before it is current

Callers saw: nothing certain; an entry host that has restarted and knows only three control hosts has the state of one that is cut off, or none, while a majority is within its reach. Cause: entry hosts ignored the details of a control host that is not current, and it sends them again only when they change. One that hears its leader before it has caught up sends them at that moment. Change: the details are kept until the control host is current. While an entry host knows no current control host, it connects to the replicas that the others name.

--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -62,7 +62,11 @@
     link: LinkHandle,
     peer: SocketAddr,
     zone: Option<ZoneName>,
+    /// The last head, without its details.
     head: Option<HeadMessage>,
+    /// The last details, until they are adopted: only those of a control host in contact with a majority
+    /// are, and it sends them again only when they change.
+    details: Option<HeadDetails>,
     last_received: Timestamp,
 }
 
@@ -152,6 +156,12 @@
             wanted.extend(seeds);
             wanted.extend(self.group.hosts.iter().map(|(address, _)| *address));
         }
+        if self.is_cut_off {
+            // A control host that is cut off itself may know others that are not.
+            let details = self.links.iter().filter_map(|link| link.details.as_ref());
+            let replicas = details.flat_map(|details| &details.replicas);
+            wanted.extend(replicas.map(|replica| replica.peers));
+        }
         drop(settings);
         self.dialed.set_peers(wanted);
         let dialed = &self.dialed;
@@ -171,7 +181,14 @@
                 let relay = Some(SocketAddr::new(settings.address, settings.peer_port));
                 link.send(&LinkMessage::Hello { host, zone, kind: HostKind::Entry, relay });
                 let last_received = self.host.now();
-                self.links.push(ControlLink { link, peer, zone: None, head: None, last_received });
+                self.links.push(ControlLink {
+                    link,
+                    peer,
+                    zone: None,
+                    head: None,
+                    details: None,
+                    last_received,
+                });
             }
             LinkEvent::Closed { id } => {
                 self.links.retain(|link| link.link.id != id);
@@ -193,8 +210,14 @@
         known.last_received = now;
         match message {
             LinkMessage::Hello { zone, .. } => known.zone = Some(zone),
-            LinkMessage::Head(head) => {
+            LinkMessage::Head(mut head) => {
+                let details = head.details.take();
                 known.head = Some(head);
+                if let Some(details) = details {
+                    let mut quarantine = self.host.quarantine.borrow_mut();
+                    details.crashes.iter().for_each(|entry| quarantine.merge(now, entry));
+                    known.details = Some(details);
+                }
                 self.handle_head(link.id);
             }
             LinkMessage::Updates { after, through, commands } => {
@@ -234,9 +257,9 @@
     }
 
     fn handle_head(&mut self, id: LinkId) {
-        let Some(link) = self.links.iter().find(|link| link.link.id == id) else { return };
+        let Some(link) = self.links.iter_mut().find(|link| link.link.id == id) else { return };
         let Some(head) = link.head.clone() else { return };
-        let details = head.details.as_ref();
+        let details = link.details.take_if(|_| head.is_current);
         let own_zone = self.host.settings.borrow().zone.clone();
         let knows_zone = head.is_leader || link.zone.as_ref() == Some(&own_zone);
         if head.is_current {
@@ -263,7 +286,7 @@
             self.host.throttle.borrow_mut().update(shares, rand::random());
             self.shares_received_at = self.host.now();
         }
-        if let Some(details) = details.filter(|_| head.is_current) {
+        if let Some(details) = details {
             if head.is_leader {
                 let peer = |report: &RelayReport| RelayPeer {
                     address: report.address,
@@ -275,11 +298,9 @@
                 let preferred = PreferredTargets::new(details.zone_hosts.clone());
                 self.host.set_preferred_targets(preferred);
             }
-            self.learn_control_hosts(details);
-        }
-        let now = self.host.now();
-        for entry in details.map_or(&[][..], |details| &details.crashes) {
-            self.host.quarantine.borrow_mut().merge(now, entry);
+            self.learn_control_hosts(&details);
+        } else if self.is_cut_off && !head.is_current {
+            self.dial();
         }
         self.select_stream();
         self.check_progress();
