fix(gw-gateway): hosts join a group of which no seed is a member

They had restarted and knew their three seeds only. The seeds had been down for 8 s and were removed; since their return they had no id. Cause: a replica that is told of its removal forgot all addresses but its seeds, and asked to join only over connections that it had opened itself. Members connect to the seeds, but were not asked. Change: it asks over all connections to control hosts, and keeps the addresses. Evidence: control_join/hosts_join_though_none_of_their_seeds_is_a_member fails without the change after 30 s without an id, and passes with it, with lost disks and without.

--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -144,6 +144,8 @@
     pub(crate) first_seen: RefCell<BTreeMap<HostId, Timestamp>>,
     /// Whether a replica has recently joined in place of another one.
     pub(crate) replacement: Cell<ReplacementWindow>,
+    /// New replicas, by data folder, for which this leader has proposed a change, and when.
+    pub(crate) proposed_joins: RefCell<BTreeMap<u64, Timestamp>>,
     /// When another control host was last heard over a connection, by its address. Known on
     /// followers as well, so that a new leader need not wait to learn who is silent.
     pub(crate) heard_hosts: RefCell<BTreeMap<SocketAddr, Timestamp>>,
@@ -193,6 +195,7 @@
             majority_seen_at: Cell::new(clock.now()),
             first_seen: RefCell::default(),
             replacement: Cell::default(),
+            proposed_joins: RefCell::default(),
             heard_hosts: RefCell::default(),
             pending_calls: RefCell::default(),
             is_stopping: Cell::new(false),
--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -22,6 +22,9 @@
 /// Interval at which a host without contact with a majority logs whom it reaches.
 const LEADERLESS_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Shortest time between two changes for the same new replica. Shorter than that between its requests.
+const JOIN_INTERVAL: Duration = Duration::from_millis(200);
+
 impl ControlHost {
     /// Loads this replica's identity, or creates one: that of an initial member at the first start
     /// of the system, otherwise that of a new replica which has to join.
@@ -78,16 +81,19 @@
         }
     }
 
-    /// Asks all connected control hosts for a replica id.
+    /// Asks all connected control hosts for a replica id. Members connect to this host if it is one of
+    /// their seeds, also if it knows none of them.
     pub(crate) fn ask_to_join(&self) {
         let Some(identity) = self.identity.borrow().clone() else { return };
         let settings = self.settings.borrow();
         let peers = SocketAddr::new(settings.address, settings.peer_port);
         let join =
             LinkMessage::Join { folder: identity.folder, peers, calls: self.control_address };
-        for link in self.links.borrow().iter().filter(|link| link.is_outbound) {
+        let links = self.links.borrow();
+        let control = links.iter().filter(|link| link.is_outbound || link.is_control());
+        control.for_each(|link| {
             link.link.send(&join);
-        }
+        });
     }
 
     /// Handles a request to join the group. Only the leader decides it; the others pass it on, since
@@ -111,6 +117,9 @@
             link.send(&LinkMessage::Welcome { id: known.id, replicas });
             return;
         }
+        if !self.may_propose_join(folder) {
+            return;
+        }
         // The replica that had this address has lost its disk, and with it its votes and
         // acknowledged log entries. It must not continue under its old id.
         if let Some(old) = replicas.iter().find(|replica| replica.peers == peers) {
@@ -127,6 +136,17 @@
         self.propose(FleetCommand::AddReplica { folder, peers, calls });
     }
 
+    /// Whether no change for the new replica `folder` was proposed a moment ago: its request arrives over
+    /// each connection to a member.
+    fn may_propose_join(&self, folder: u64) -> bool {
+        let now = self.now();
+        let mut proposed = self.proposed_joins.borrow_mut();
+        proposed.retain(|_, at| now.since(*at) < JOIN_INTERVAL);
+        let is_new = !proposed.contains_key(&folder);
+        proposed.entry(folder).or_insert(now);
+        is_new
+    }
+
     /// Answers a request to join that the group has granted, and passes any other on to the leader,
     /// unless a member has passed it on to this host.
     fn forward_join(&self, link: &LinkHandle, folder: u64, peers: SocketAddr, calls: SocketAddr) {
@@ -173,8 +193,10 @@
             return;
         }
         // The votes and log entries of the initial member are gone, so its id must not be used
-        // again.
-        self.save_identity(ReplicaIdentity::unassigned());
+        // again. The addresses lead to the group, of which the seeds need not be members.
+        let peers = self.identity.borrow().as_ref().map(|identity| identity.peers.clone());
+        let peers = peers.unwrap_or_default();
+        self.save_identity(ReplicaIdentity { peers, ..ReplicaIdentity::unassigned() });
     }
 
     /// Tells the leader that this host has been told to stop.
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -62,6 +62,10 @@
     pub(crate) fn is_entry(&self) -> bool {
         matches!(self.hello, Some((_, _, HostKind::Entry)))
     }
+
+    pub(crate) fn is_control(&self) -> bool {
+        matches!(self.hello, Some((_, _, HostKind::Control)))
+    }
 }
 
 /// Opens connections to other control hosts and handles the events of all connections between
