feat(gw-gateway): entry hosts log that their state may be outdated

Callers saw: requests run by an older configuration at one entry host; its logs said nothing. Cause: an entry host without a current control host, or behind all of them, logged only connections. Change: event=state_outdated at WARN, each 2 s while no current control host has confirmed the state: the held configuration, the newest index announced, the links, how many of them are current, and whether a reply is awaited.

--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -55,6 +55,9 @@
 /// How long another control host may be ahead of this host's state before the missing entries are
 /// requested from it.
 const MAX_LAG: Duration = Duration::from_millis(120);
+/// Interval at which a host logs that its state may be outdated: the time within which a
+/// change has to be in force.
+const OUTDATED_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Capacity of the queue of connection events.
 const EVENT_QUEUE_LEN: usize = 1024;
 
@@ -96,6 +99,8 @@
     reported_crashes: Option<(LinkId, u64)>,
     /// When the leader last reported the overloaded holders.
     shares_received_at: Timestamp,
+    /// When the host last logged that its state may be outdated, or started.
+    outdated_logged_at: Timestamp,
 }
 
 impl ControlLinks {
@@ -103,6 +108,7 @@
     pub(crate) async fn run(host: Rc<EntryHost>) {
         let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
         let bounds = MemoryBounds::of(host.settings.borrow().memory_bytes);
+        let started_at = host.now();
         let mut links = Self {
             host,
             dialed: DialedPeers::new(events, bounds),
@@ -115,6 +121,7 @@
             behind_since: None,
             reported_crashes: None,
             shares_received_at: Timestamp::ZERO,
+            outdated_logged_at: started_at,
         };
         links.dial();
         let mut reports = tokio::time::interval(REPORT_INTERVAL);
@@ -413,6 +420,7 @@
         }
         self.select_stream();
         self.check_progress();
+        self.log_outdated_state(now);
         self.host.log_stopped_zones();
         self.report();
         self.host.log_cold_targets();
@@ -422,6 +430,28 @@
         }
     }
 
+    /// Logs, at intervals, that no control host in contact with a majority has confirmed this host's
+    /// state for some time. Requests are served with it nevertheless.
+    fn log_outdated_state(&mut self, now: Timestamp) {
+        let current_at = self.host.current_at.get().unwrap_or(Timestamp::ZERO);
+        if now.since(current_at.max(self.outdated_logged_at)) < OUTDATED_LOG_INTERVAL {
+            return;
+        }
+        self.outdated_logged_at = now;
+        let heads = self.links.iter().filter_map(|link| link.head.as_ref());
+        let newest = heads.map(|head| head.index).max();
+        let current = self.links.iter().filter(|link| Self::is_usable(link, now)).count();
+        log::warn!(
+            "event=state_outdated config={} applied={} newest={newest:?} links={} current={current} \
+             known={} awaits_reply={}",
+            self.host.state().config_version(),
+            self.host.applied(),
+            self.links.len(),
+            self.group.hosts.len(),
+            !self.may_fetch(),
+        );
+    }
+
     fn report(&mut self) {
         let now = self.host.now();
         let is_leader = |link: &&ControlLink| link.head.as_ref().is_some_and(|head| head.is_leader);
