fix(gw-gateway): an entry host ends when a task ends without which it cannot serve

Callers saw: not seen. By reading: a panic in the task that follows the control hosts ended only that task; the host stayed ready and served with its last state until the process ended. No panic was found that is reachable there. Change: the process ends with an error, and is started again by the platform. Evidence: none by a test, since no panic can be provoked; processes and entry_state pass.

--- a/crates/gw-gateway/src/entry/run_entry.rs
+++ b/crates/gw-gateway/src/entry/run_entry.rs
@@ -61,9 +61,9 @@
     let shared = host.clone();
     spawn_local(serve_metrics(metrics, host.memory.clone(), move || shared.metrics.text()));
     spawn_local(host.memory.clone().run());
-    spawn_local(ControlLinks::run(host.clone()));
-    spawn_local(run_admission(host.clone()));
-    spawn_local(watch_path(host.clone()));
+    let links = spawn_local(ControlLinks::run(host.clone()));
+    let admission = spawn_local(run_admission(host.clone()));
+    let path = spawn_local(watch_path(host.clone()));
     if let Some(listener) = readiness {
         spawn_local(serve_readiness(listener, host.clone()));
     }
@@ -79,7 +79,13 @@
         let handler = Rc::new(RequestHandler::new(host.clone(), origin));
         spawn_local(serve_callers(listener, count.clone(), host.closing.subscribe(), handler));
     }
-    shutdown_signal().await?;
+    tokio::select! {
+        received = shutdown_signal() => received?,
+        // The host would go on with the state that it has, and with requests that nobody sends.
+        _ = links => return Err(RunError::TaskEnded("control_links")),
+        _ = admission => return Err(RunError::TaskEnded("admission")),
+        _ = path => return Err(RunError::TaskEnded("path")),
+    }
     host.is_stopping.set(true);
     let end = tokio::time::Instant::now() + grace_time.saturating_sub(SHUTDOWN_MARGIN);
     host.stops_at.set(Some(end));
--- a/crates/gw-gateway/src/process.rs
+++ b/crates/gw-gateway/src/process.rs
@@ -39,6 +39,9 @@
     /// The replica's data directory could not be read or written.
     #[error("data folder: {0}")]
     Data(String),
+    /// A task without which the host cannot serve has ended, by a panic.
+    #[error("task {0} has ended")]
+    TaskEnded(&'static str),
     /// The async runtime or a signal handler could not be started.
     #[error("cannot start: {0}")]
     Start(#[from] io::Error),
