--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -9,6 +9,7 @@
 use gw_fleet::ControlChoice;
 use gw_fleet::FleetState;
 use gw_fleet::FormatVersion;
+use gw_fleet::LinkProgress;
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
@@ -55,8 +56,9 @@
 /// How long another control host may be ahead of this host's state before the missing entries are
 /// requested from it.
 const MAX_LAG: Duration = Duration::from_millis(120);
-/// Interval at which a host that reaches no usable control host logs what it knows.
-const CUT_OFF_LOG_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which a host logs that its state may be outdated: the time within which a
+/// change has to be in force.
+const OUTDATED_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Capacity of the queue of connection events.
 const EVENT_QUEUE_LEN: usize = 1024;
 
@@ -86,8 +88,6 @@
     group: ControlChoice,
     /// Whether no control host was usable at the last tick.
     is_cut_off: bool,
-    /// When it was last logged that none is.
-    cut_off_logged_at: Timestamp,
     /// Number of ticks so far.
     ticks: u32,
     /// Connection over which changes are streamed.
@@ -100,6 +100,8 @@
     reported_crashes: Option<(LinkId, u64)>,
     /// When the leader last reported the overloaded holders.
     shares_received_at: Timestamp,
+    /// When the host last logged that its state may be outdated, or started.
+    outdated_logged_at: Timestamp,
 }
 
 impl ControlLinks {
@@ -107,20 +109,20 @@
     pub(crate) async fn run(host: Rc<EntryHost>, dialer: Rc<dyn TargetDialer>) {
         let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
         let bounds = MemoryBounds::of(host.settings.borrow().memory_bytes);
-        let cut_off_logged_at = host.now();
+        let started_at = host.now();
         let mut links = Self {
             host,
             dialed: DialedPeers::new(events, bounds, dialer),
             links: Vec::new(),
             group: ControlChoice::default(),
             is_cut_off: true,
-            cut_off_logged_at,
             ticks: 0,
             stream: None,
             fetch: StateFetch::default(),
             behind_since: None,
             reported_crashes: None,
             shares_received_at: Timestamp::ZERO,
+            outdated_logged_at: started_at,
         };
         links.dial();
         let mut reports = tokio::time::interval(REPORT_INTERVAL);
@@ -218,8 +220,13 @@
         match message {
             LinkMessage::Hello { zone, .. } => known.zone = Some(zone),
             LinkMessage::Head(mut head) => {
-                known.details = head.details.take().or(known.details.take());
+                let details = head.details.take();
                 known.head = Some(head);
+                if let Some(details) = details {
+                    let mut quarantine = self.host.quarantine.borrow_mut();
+                    details.crashes.iter().for_each(|entry| quarantine.merge(now, entry));
+                    known.details = Some(details);
+                }
                 self.handle_head(link.id);
             }
             LinkMessage::Updates { after, through, commands } => {
@@ -301,9 +308,8 @@
                 self.host.set_preferred_targets(preferred);
             }
             self.learn_control_hosts(&details);
-            let now = self.host.now();
-            let mut quarantine = self.host.quarantine.borrow_mut();
-            details.crashes.iter().for_each(|entry| quarantine.merge(now, entry));
+        } else if self.is_cut_off && !head.is_current {
+            self.dial();
         }
         self.select_stream();
         self.check_progress();
@@ -330,7 +336,9 @@
         let own_zone = self.host.settings.borrow().zone.clone();
         let usable = self.links.iter().filter(|link| Self::is_usable(link, now));
         let best = usable.max_by_key(|link| {
-            (link.zone.as_ref() == Some(&own_zone), self.stream == Some(link.link.id))
+            let id = link.link.id;
+            let is_same_zone = link.zone.as_ref() == Some(&own_zone);
+            (!self.fetch.is_unanswered(id), is_same_zone, self.stream == Some(id))
         });
         let Some(best) = best.map(|link| link.link.clone()) else { return };
         if self.stream == Some(best.id) {
@@ -351,11 +359,12 @@
 
     /// Whether no reply with missing entries is on its way.
     fn may_fetch(&self) -> bool {
-        let last_byte = |id: LinkId| {
-            let link = self.links.iter().find(|link| link.link.id == id)?;
-            Some(link.link.last_byte.get())
+        let progress = |id: LinkId| {
+            let link = &self.links.iter().find(|link| link.link.id == id)?.link;
+            let (last_byte, last_part) = (link.last_byte.get(), link.last_part.get());
+            Some(LinkProgress { last_byte, last_part })
         };
-        self.fetch.may_start(self.host.now(), last_byte)
+        self.fetch.may_start(self.host.now(), progress)
     }
 
     /// Requests the entries after this host's state, unless a reply is already on its way.
@@ -382,17 +391,21 @@
         if has_usable && is_caught_up {
             self.host.record_caught_up();
         }
-        let Some((link, head)) = newest else { return };
+        let Some((_, head)) = newest else { return };
         if learned.contains(head.index) {
             self.behind_since = None;
             return;
         }
         let applied = learned.applied();
-        drop(learned);
+        let ahead = heads.filter(|(_, head)| !learned.contains(head.index));
+        let source =
+            ahead.max_by_key(|(link, head)| (!self.fetch.is_unanswered(link.link.id), head.index));
+        let Some((link, _)) = source else { return };
         let since = *self.behind_since.get_or_insert(now);
         if now.since(since) > MAX_LAG && self.may_fetch() {
             log::info!("event=state_behind applied={applied} known={}", head.index);
             let link = link.link.clone();
+            drop(learned);
             self.behind_since = Some(now);
             self.request_entries(&link);
         }
@@ -403,7 +416,6 @@
         let is_cut_off = !self.links.iter().any(|link| Self::is_usable(link, now));
         self.host.reaches_majority.set(self.reaches_majority());
         if is_cut_off || self.is_cut_off {
-            self.log_cut_off(is_cut_off);
             self.is_cut_off = is_cut_off;
             // The settings may name other control hosts since: those that were known may all have
             // been replaced meanwhile.
@@ -411,6 +423,7 @@
         }
         self.select_stream();
         self.check_progress();
+        self.log_outdated_state(now);
         self.host.log_stopped_zones();
         self.report();
         self.host.log_cold_targets();
@@ -420,24 +433,28 @@
         }
     }
 
-    /// Logs that no control host is usable, and since when, or that one is again.
-    fn log_cut_off(&mut self, is_cut_off: bool) {
-        let now = self.host.now();
-        let learned = self.host.learned.borrow();
-        let (applied, config) = (learned.applied(), learned.state().config_version());
-        if !is_cut_off {
-            log::info!("event=control_reached applied={applied} config={config}");
-        } else if !self.is_cut_off || now.since(self.cut_off_logged_at) >= CUT_OFF_LOG_INTERVAL {
-            self.cut_off_logged_at = now;
-            let hosts: Vec<_> = self.group.hosts.iter().map(|(address, _)| *address).collect();
-            let connected: Vec<_> = self.links.iter().map(|link| link.peer).collect();
-            let since = now.since(self.host.last_contact.get()).as_millis();
-            log::warn!(
-                "event=control_not_reached contact_ms={since} applied={applied} config={config} \
-                 known={hosts:?} seeds={:?} connected={connected:?}",
-                self.host.settings.borrow().seeds,
-            );
+    /// Logs, at intervals, that no control host in contact with a majority has confirmed this host's
+    /// state for some time. Requests are served with it nevertheless.
+    fn log_outdated_state(&mut self, now: Timestamp) {
+        let current_at = self.host.current_at.get().unwrap_or(Timestamp::ZERO);
+        if now.since(current_at.max(self.outdated_logged_at)) < OUTDATED_LOG_INTERVAL {
+            return;
         }
+        self.outdated_logged_at = now;
+        let heads = self.links.iter().filter_map(|link| link.head.as_ref());
+        let newest = heads.map(|head| head.index).max();
+        let current = self.links.iter().filter(|link| Self::is_usable(link, now)).count();
+        let connected: Vec<_> = self.links.iter().map(|link| link.peer).collect();
+        let hosts: Vec<_> = self.group.hosts.iter().map(|(address, _)| *address).collect();
+        log::warn!(
+            "event=state_outdated config={} applied={} newest={newest:?} contact_ms={} \
+             connected={connected:?} current={current} known={hosts:?} seeds={:?} awaits_reply={}",
+            self.host.state().config_version(),
+            self.host.applied(),
+            now.since(self.host.last_contact.get()).as_millis(),
+            self.host.settings.borrow().seeds,
+            !self.may_fetch(),
+        );
     }
 
     fn report(&mut self) {
