fix(gw-gateway): times of a configuration beyond the range of the clock end no connection

What callers saw: with a header-timeout-s, idle-timeout-s or target-latency-s of 1.8e19, which is accepted, every connection to every entry host was closed without an answer until the next configuration.

Cause: the time was added to the present one, which panics on overflow and ended the task of the connection.

--- a/crates/gw-gateway/src/entry/read_request.rs
+++ b/crates/gw-gateway/src/entry/read_request.rs
@@ -30,6 +30,10 @@
 /// Part of the caller's timeout reserved for returning the response to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(5);
 
+/// Longest objective, whatever the configuration states: a time that exceeds the range of the clock
+/// ended every connection.
+const MAX_OBJECTIVE: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Who sent a request to this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RequestOrigin {
@@ -124,7 +128,7 @@
         key,
         priority: rule.priority,
         body_bytes: body.len(),
-        objective: started + rule.objective.saturating_sub(age),
+        objective: started + rule.objective.min(MAX_OBJECTIVE).saturating_sub(age),
         deadline: started + timeout.saturating_sub(RETURN_MARGIN),
     };
     Ok(ReadRequest { number, origin, started, head, body, metadata, rule, params, fingerprint })
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -70,6 +70,9 @@
     parser: ParserLimits { head_bytes: DEFAULT_HEAD_BYTES, body_bytes: 1024 * 1024 },
     idle_timeout: DEFAULT_IDLE_TIMEOUT,
 };
+/// Longest idle time of a caller's connection, whatever the configuration states: a time that exceeds
+/// the range of the clock ended every connection.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(24 * 60 * 60);
 /// Bytes that a relayed request's head may have beyond the limit for callers.
 const RELAY_HEAD_BYTES: usize = 1024;
 
@@ -94,7 +97,11 @@
                 head_bytes: bytes(config.limits.max_head_bytes),
                 body_bytes: bytes(config.limits.max_body_bytes),
             },
-            idle_timeout: config.limits.idle_timeout.max(config.limits.head_timeout),
+            idle_timeout: config
+                .limits
+                .idle_timeout
+                .max(config.limits.head_timeout)
+                .min(MAX_IDLE_TIMEOUT),
         });
         match self.origin {
             RequestOrigin::Caller => limits,
