fix(gw-balance): the rate of cold targets that is given out in permits is bounded

What callers saw: with a warmup-per-s of 1e308 for a service with keys and one cold target, each leader of the control group stopped for good with the first request for its keys: no change was decided.

Cause: the leader gives out single permits in a loop that subtracts 1 from their number; from about 1e16 on that changes nothing.

Change: at most 10,000 permits a second are given out for a target.

--- a/crates/gw-balance/src/cold_allocator.rs
+++ b/crates/gw-balance/src/cold_allocator.rs
@@ -23,6 +23,9 @@
 /// Requests beyond the rate that two sponsors can send in the second in which one follows the other:
 /// the first one of each.
 const SPONSOR_CHANGE_REQUESTS: f64 = 2.0;
+/// Highest rate that is given out in permits, far above what one target takes. Each permit takes a step
+/// of a loop: with a configured rate of 1e308 the leader never left it.
+const MAX_PERMITS_PER_SECOND: f64 = 10_000.0;
 /// Smallest allocated fraction of the rate, however narrow the bounds of the settings are.
 const MIN_RATE_FRACTION: f64 = 0.1;
 
@@ -172,7 +175,7 @@
         holder: &RangeHolder,
         per_second: f64,
     ) -> Vec<(HostName, u32)> {
-        let rate = self.bound.permit_rate(per_second);
+        let rate = self.bound.permit_rate(per_second).min(MAX_PERMITS_PER_SECOND);
         let is_quiet = now < self.quiet_until;
         let run = self.run(now, holder);
         let filled = rate * now.since(run.filled_at).as_secs_f64();
