fix(gw-gateway): a removed control host joins again although its disk is full when it learns of it

What callers saw: a control host whose disk was full while it learned that it had been removed from the group answered 503 to all calls until its process was started again, long after the disk had room.

Once there was room it started an empty replica under the old id. A replica that had once joined knows no members then: it sends nothing, is told nothing, and does not ask to join.

Change: the new identity is in force at once. It need not be on disk before the group has given it an id: that id is saved before the replica starts.

--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -147,13 +147,19 @@
         log::warn!("event=replica_was_removed id={}", id.0);
         *self.replica.borrow_mut() = None;
         let data = self.settings.borrow().data_dir.clone();
-        if let Some(Err(error)) = data.map(|data| ReplicaIdentity::wipe(&data)) {
+        if let Some(Err(error)) = data.as_ref().map(|data| ReplicaIdentity::remove(data)) {
             log::error!("event=data_not_removed cause=\"{error}\"");
             return;
         }
         // The votes and log entries of the initial member are gone, so its id must not be used
-        // again.
-        self.save_identity(ReplicaIdentity::unassigned());
+        // again, also if the new identity cannot be saved now: that with the next id is saved before
+        // the replica starts.
+        let identity = ReplicaIdentity::unassigned();
+        *self.identity.borrow_mut() = Some(identity.clone());
+        if let Some(Err(error)) = data.map(|data| ReplicaIdentity::remove_journal(&data)) {
+            log::error!("event=journal_not_removed cause=\"{error}\"");
+        }
+        self.save_identity(identity);
     }
 
     /// Tells the leader that this host has been told to stop.
--- a/crates/gw-gateway/src/control/replica_identity.rs
+++ b/crates/gw-gateway/src/control/replica_identity.rs
@@ -63,17 +63,20 @@
         File::open(data)?.sync_all()
     }
 
-    /// Removes the identity and the journal from the data directory.
-    pub(crate) fn wipe(data: &Path) -> io::Result<()> {
-        // The identity is removed first: without it the journal is never read, even if its removal
-        // fails.
+    /// Removes the identity from the data directory. Must precede the removal of the journal: a
+    /// replica must not go on under its id without its votes and log entries.
+    pub(crate) fn remove(data: &Path) -> io::Result<()> {
         for name in [FILE_NAME, TEMP_FILE_NAME] {
             match fs::remove_file(data.join(name)) {
                 Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
                 _ => {}
             }
         }
-        File::open(data)?.sync_all()?;
+        File::open(data)?.sync_all()
+    }
+
+    /// Removes the journal from the data directory.
+    pub(crate) fn remove_journal(data: &Path) -> io::Result<()> {
         match fs::remove_dir_all(data.join(JOURNAL_FOLDER)) {
             Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
             _ => Ok(()),
