--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -126,12 +126,18 @@
         self.propose(FleetCommand::AddReplica { folder, peers, calls });
     }
 
-    /// Stores the id that the group has assigned.
+    /// Stores the id that the group has assigned, once nothing of an earlier journal is left: the host
+    /// may have ended while it emptied its folder, and a part of a journal cannot be read.
     pub(crate) fn handle_welcome(&self, id: HostId, replicas: Vec<ReplicaRecord>) {
         let Some(mut identity) = self.identity.borrow().clone() else { return };
         if identity.id.is_some() {
             return;
         }
+        let data = self.settings.borrow().data_dir.clone();
+        if let Some(Err(error)) = data.map(|data| ReplicaIdentity::remove_journal(&data)) {
+            log::error!("event=journal_not_removed cause=\"{error}\"");
+            return;
+        }
         identity.id = Some(id);
         identity.peers = peer_addresses(&replicas);
         self.save_identity(identity);
