fix(gw-gateway): a control host does not end when its disk is full at its first start

What callers saw: a control host that started with an empty folder on a full disk ended by itself.

Cause: the identity could not be written, which ended the process, while the same failure later on is logged and tried again.

A folder that cannot be read is logged as identity_not_loaded instead of ending the process.

--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -55,7 +55,7 @@
     let peers = bind("peers", peers).await?;
     let metrics = SocketAddr::new(settings.address, settings.peer_port + 1);
     let host = ControlHost::new(settings, adapter, dialer, control_address);
-    host.load_identity().map_err(|error| RunError::Data(error.to_string()))?;
+    start_replica(&host, 0);
     let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
     spawn_local(accept_links(peers, events.clone(), host.bounds));
     let shared = host.clone();
@@ -161,15 +161,14 @@
     if host.replica.borrow().is_some() || !is_due {
         return;
     }
-    let identity = host.identity.borrow().clone();
-    let Some(identity) = identity else {
-        if round == 0
-            && let Err(error) = host.load_identity()
-        {
-            log::error!("event=identity_not_read cause=\"{error}\"");
-        }
-        return;
-    };
+    if host.identity.borrow().is_none()
+        && round == 0
+        && let Err(error) = host.load_identity()
+    {
+        // The disk may have room for it later.
+        log::error!("event=identity_not_loaded cause=\"{error}\"");
+    }
+    let Some(identity) = host.identity.borrow().clone() else { return };
     if identity.id.is_none() {
         if round == 0 {
             host.ask_to_join();
--- a/crates/gw-gateway/src/process.rs
+++ b/crates/gw-gateway/src/process.rs
@@ -36,9 +36,6 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// The replica's data directory could not be read or written.
-    #[error("data folder: {0}")]
-    Data(String),
     /// The async runtime or a signal handler could not be started.
     #[error("cannot start: {0}")]
     Start(#[from] io::Error),
