--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -44,7 +44,8 @@
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
     let refuse = |error: CallError| {
-        log::warn!("event=call_refused method={} path={path} cause=\"{error}\"", head.method);
+        let (method, cause) = (&head.method, error.description());
+        log::warn!("event=call_refused method={method} path={path} cause=\"{cause}\"");
         host.adapter.write_error(&error).map(Full::new)
     };
     let (body, _held) = match read_body(&memory, body).await {
