fix(gw-gateway): an announcement with an unnamed service does not displace a known target

What callers saw: after an announcement of another writer for the id of a real target, with a service that no configuration names and a large sequence number, the target got no request for 9 s; with a later start, by reading, for as long as the departed run is remembered.

Cause: the announcement replaced the record of the target, and the target's own ones counted as late.

Change: an announcement whose service the configuration does not name is ignored if the target is known with a service that it names. The platform says that such an entry names no instance, and that the others hold. Targets that are not known are still recorded before the configuration names their service.

--- a/crates/gw-fleet/src/fleet_state.rs
+++ b/crates/gw-fleet/src/fleet_state.rs
@@ -317,6 +317,15 @@
         has_departed || self.latest_run(&record.name).is_some_and(|run| run > record.run)
     }
 
+    /// Returns whether an announcement names a service that the configuration does not name, for a
+    /// target that is known with one that it names. Such an announcement comes from another writer.
+    pub fn contradicts_service(&self, record: &TargetRecord) -> bool {
+        let Some(config) = self.config() else { return false };
+        let is_named = |service: &ServiceName| config.service(service).is_some();
+        let known = self.target(&record.name);
+        known.is_some_and(|known| is_named(&known.service)) && !is_named(&record.service)
+    }
+
     /// Returns the range table of `service`; `None` if none of its ranges was ever assigned.
     pub fn table(&self, service: &ServiceName) -> Option<&RangeTable> {
         let found = self.tables.binary_search_by(|(name, _)| name.cmp(service));
--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -126,12 +126,17 @@
 
 /// Handles an announcement. A changed record is committed. An unchanged one only counts as a sign
 /// that the target is alive, which a follower reports to the leader. Late announcements of targets
-/// that have left or ended are ignored.
+/// that have left or ended are ignored, and those that another writer has left for a known target.
 async fn announce(host: &Rc<ControlHost>, announcement: TargetAnnouncement) -> ControlReply {
     let now = host.now();
     if !host.is_current() {
         return ControlReply::Unavailable { reason: "no contact with a majority" };
     }
+    let record = &announcement.record;
+    if host.log.borrow().state().contradicts_service(record) {
+        log::warn!("event=odd_announcement target={} service={}", record.holder(), record.service);
+        return ControlReply::Accepted;
+    }
     let is_newest = host.monitor.borrow_mut().record_announcement(now, &announcement);
     if !is_newest {
         return ControlReply::Accepted;
