fix(gw-routing): weights whose sum exceeds the range of numbers are distributed

What callers saw: of a traffic split with weights of 1e308 and more, all requests after the first few went to one service.

Cause: the sum of the weights was infinite, and so were the credits.

--- a/crates/gw-routing/tests/routing_config.rs
+++ b/crates/gw-routing/tests/routing_config.rs
@@ -152,16 +152,19 @@
     }
 }
 
-/// Guards against a distribution that deviates from the weights, even over few requests.
+/// Guards against a distribution that deviates from the weights, even over few requests, or when their
+/// sum exceeds the range of numbers.
 #[test]
 fn requests_are_distributed_by_weight() {
-    let rule = rule("/a/", &[("slips", 90.0), ("notes", 10.0)]);
-    let mut round_robin = WeightedRoundRobin::default();
-    let mut notes = 0_u32;
-    for count in 1..=200_u32 {
-        notes += u32::from(round_robin.next(&rule) == Some(&service("notes")));
-        let share = f64::from(count) * 0.1;
-        assert!((f64::from(notes) - share).abs() <= 1.0, "{notes} of {count}");
+    for weights in [(90.0, 10.0), (f64::MAX, f64::MAX / 9.0)] {
+        let rule = rule("/a/", &[("slips", weights.0), ("notes", weights.1)]);
+        let mut round_robin = WeightedRoundRobin::default();
+        let mut notes = 0_u32;
+        for count in 1..=200_u32 {
+            notes += u32::from(round_robin.next(&rule) == Some(&service("notes")));
+            let share = f64::from(count) * 0.1;
+            assert!((f64::from(notes) - share).abs() <= 1.0, "{weights:?}: {notes} of {count}");
+        }
+        assert_eq!(notes, 20, "{weights:?}");
     }
-    assert_eq!(notes, 20);
 }
