--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -169,12 +169,18 @@
         }
     }
 
-    /// Stores the id that the group has assigned.
+    /// Stores the id that the group has assigned, once nothing of an earlier journal is left: the host
+    /// may have ended while it emptied its folder, and a part of a journal cannot be read.
     pub(crate) fn handle_welcome(&self, id: HostId, replicas: Vec<ReplicaRecord>) {
         let Some(mut identity) = self.identity.borrow().clone() else { return };
         if identity.id.is_some() {
             return;
         }
+        let data = self.settings.borrow().data_dir.clone();
+        if let Some(Err(error)) = data.map(|data| ReplicaIdentity::remove_journal(&data)) {
+            log::error!("event=journal_not_removed cause=\"{error}\"");
+            return;
+        }
         identity.id = Some(id);
         identity.peers = peer_addresses(&replicas);
         self.save_identity(identity);
@@ -190,15 +196,21 @@
         log::warn!("event=replica_was_removed id={}", id.0);
         *self.replica.borrow_mut() = None;
         let data = self.settings.borrow().data_dir.clone();
-        if let Some(Err(error)) = data.map(|data| ReplicaIdentity::wipe(&data)) {
+        if let Some(Err(error)) = data.as_ref().map(|data| ReplicaIdentity::remove(data)) {
             log::error!("event=data_not_removed cause=\"{error}\"");
             return;
         }
         // The votes and log entries of the initial member are gone, so its id must not be used
-        // again. The addresses lead to the group, of which the seeds need not be members.
+        // again, also if the new identity cannot be saved now: that with the next id is saved before
+        // the replica starts. The addresses lead to the group, of which the seeds need not be members.
         let peers = self.identity.borrow().as_ref().map(|identity| identity.peers.clone());
         let peers = peers.unwrap_or_default();
-        self.save_identity(ReplicaIdentity { peers, ..ReplicaIdentity::unassigned() });
+        let identity = ReplicaIdentity { peers, ..ReplicaIdentity::unassigned() };
+        *self.identity.borrow_mut() = Some(identity.clone());
+        if let Some(Err(error)) = data.map(|data| ReplicaIdentity::remove_journal(&data)) {
+            log::error!("event=journal_not_removed cause=\"{error}\"");
+        }
+        self.save_identity(identity);
     }
 
     /// Tells the leader that this host has been told to stop.
--- a/crates/gw-gateway/src/process.rs
+++ b/crates/gw-gateway/src/process.rs
@@ -36,9 +36,6 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// The replica's data directory could not be read or written.
-    #[error("data folder: {0}")]
-    Data(String),
     /// A task without which the host cannot serve has ended, by a panic.
     #[error("task {0} has ended")]
     TaskEnded(&'static str),
