fix(gw-gateway): connections that other hosts open to a control host are bounded

Cause: accept_links accepted without a limit. The limits of the other listeners (MemoryGate) were never applied to this one.

Change: these connections take places of the group Hosts (0.15 of limits.max-fds). At the limit, one that has not introduced itself within a second loses its place; hosts that have are never closed for it.

--- a/crates/gw-balance/src/connection_group.rs
+++ b/crates/gw-balance/src/connection_group.rs
@@ -4,7 +4,7 @@
 pub enum ConnectionGroup {
     /// Callers of an entry host; targets and operators that call a control host.
     Callers,
-    /// Other entry hosts that relay requests.
+    /// Entry hosts that relay requests to an entry host; hosts that connect to a control host.
     Hosts,
     /// Readiness checks and readers of metrics.
     Checks,
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -57,7 +57,7 @@
     let host = ControlHost::new(settings, adapter, dialer, control_address);
     host.load_identity().map_err(|error| RunError::Data(error.to_string()))?;
     let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
-    spawn_local(accept_links(peers, events.clone(), host.bounds));
+    spawn_local(accept_links(peers, events.clone(), host.bounds, host.memory.clone()));
     let shared = host.clone();
     spawn_local(serve_metrics(metrics, host.memory.clone(), move || shared.metrics.text()));
     spawn_local(host.memory.clone().run());
--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::Buf;
+use gw_balance::ConnectionGroup;
+use gw_balance::ConnectionState;
 use gw_daemon::BootClock;
 use gw_fleet::FormatVersion;
 use gw_types::Clock;
@@ -22,6 +24,8 @@
 use crate::link::LinkMessage;
 use crate::link::frame_decoder::FrameDecoder;
 use crate::link::frame_decoder::ReceivedFrame;
+use crate::memory::ConnectionMemory;
+use crate::memory::MemoryGate;
 use crate::memory_bounds::MemoryBounds;
 use crate::targets::set_socket_options;
 
@@ -67,16 +71,26 @@
     Closed { id: LinkId },
 }
 
+/// What a connection that another host has opened may use of this host.
+struct LinkLimits {
+    /// Its place among the connections. One that has not introduced itself may lose it.
+    place: ConnectionMemory,
+}
+
 /// Accepts connections of other hosts for as long as the process runs.
 pub(crate) async fn accept_links(
     listener: TcpListener,
     events: mpsc::Sender<LinkEvent>,
     bounds: MemoryBounds,
+    memory: Rc<MemoryGate>,
 ) {
     loop {
+        memory.connection_room(ConnectionGroup::Hosts).await;
         match listener.accept().await {
             Ok((stream, peer)) => {
-                spawn_local(run_link(stream, peer, false, events.clone(), bounds));
+                let place = memory.open(ConnectionGroup::Hosts);
+                let limits = Some(LinkLimits { place });
+                spawn_local(run_link(stream, peer, limits, events.clone(), bounds));
             }
             Err(error) => {
                 log::warn!("event=accept_failed listener=peers cause=\"{error}\"");
@@ -97,7 +111,7 @@
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await {
             Ok(Ok(stream)) => {
                 is_lost = false;
-                run_link(stream, peer, true, events.clone(), bounds).await;
+                run_link(stream, peer, None, events.clone(), bounds).await;
             }
             failed => {
                 if !is_lost {
@@ -111,10 +125,11 @@
     }
 }
 
+/// Maintains a connection until it ends. One that another host has opened has `limits`.
 async fn run_link(
     stream: TcpStream,
     peer: SocketAddr,
-    is_outbound: bool,
+    limits: Option<LinkLimits>,
     events: mpsc::Sender<LinkEvent>,
     bounds: MemoryBounds,
 ) {
@@ -126,6 +141,7 @@
     }
     let link = LinkHandle::new(LinkId::next(), BootClock.now(), bounds);
     let (id, frames) = (link.id, link.frames.clone());
+    let is_outbound = limits.is_none();
     let opened = LinkEvent::Opened { link: link.clone(), peer, is_outbound };
     if events.send(opened).await.is_err() {
         return;
@@ -133,7 +149,7 @@
     let (reader, writer) = stream.into_split();
     let last_progress = Rc::new(Cell::new(Instant::now()));
     let writing = spawn_local(write_frames(writer, frames.clone(), last_progress.clone()));
-    let end = read_frames(reader, link, is_outbound, &events, last_progress).await;
+    let end = read_frames(reader, link, limits, &events, last_progress).await;
     writing.abort();
     frames.close();
     let cause = end.map_or_else(|error| error.to_string(), |()| "closed".to_owned());
@@ -169,16 +185,20 @@
 async fn read_frames(
     mut reader: tokio::net::tcp::OwnedReadHalf,
     link: LinkHandle,
-    is_outbound: bool,
+    limits: Option<LinkLimits>,
     events: &mpsc::Sender<LinkEvent>,
     last_progress: Rc<Cell<Instant>>,
 ) -> io::Result<()> {
+    let is_outbound = limits.is_none();
     let mut decoder = FrameDecoder::new();
     loop {
         while let Some(ReceivedFrame { message, version }) = decoder.next()? {
             if let Some(version) = version {
                 link.version.set(version);
                 link.frames.set_takes_fragments(link.supports(FormatVersion::EVACUATIONS));
+                if let Some(limits) = &limits {
+                    limits.place.set_state(ConnectionState::Running);
+                }
             }
             match message {
                 LinkMessage::Ping => {
@@ -193,7 +213,17 @@
                 }
             }
         }
-        let received = timeout(PING_INTERVAL, reader.read_buf(&mut decoder.buffer)).await;
+        let reading = timeout(PING_INTERVAL, reader.read_buf(&mut decoder.buffer));
+        let received = match &limits {
+            Some(limits) => tokio::select! {
+                biased;
+                received = reading => received,
+                () = limits.place.told_to_close() => {
+                    return Err(io::Error::new(io::ErrorKind::TimedOut, "not introduced"));
+                }
+            },
+            None => reading.await,
+        };
         let is_idle = link.frames.last_push().elapsed() >= MAX_SEND_INTERVAL;
         if is_outbound && (received.is_err() || is_idle) {
             link.send(&LinkMessage::Ping);
