fix(gw-gateway): frames that other hosts send are bounded in sum

What callers saw: connections to the port for other hosts that announced frames of 31 MiB, whole or in fragments, and stopped just short of their end ended a control host by memory.

Cause: the decoder reserved and collected what each frame announced; nothing bounded the sum, and a connection that had not introduced itself could announce as much as a member of the group.

A frame above 20 KiB, or the fragments of one, waits unread until a sixteenth of limits.memory-mb has room for all of it; a single one always has. A frame that moves less than 64 KiB in a second while another waits ends its connection. The buffer of a large frame is released with it.

--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -24,6 +24,9 @@
 use crate::link::LinkMessage;
 use crate::link::frame_decoder::FrameDecoder;
 use crate::link::frame_decoder::ReceivedFrame;
+use crate::link::receive_room::ReceiveRoom;
+use crate::link::receive_room::RoomClaim;
+use crate::link::receive_room::SMALL_FRAME_BYTES;
 use crate::memory::ConnectionMemory;
 use crate::memory::MemoryGate;
 use crate::memory_bounds::MemoryBounds;
@@ -75,6 +78,33 @@
 struct LinkLimits {
     /// Its place among the connections. One that has not introduced itself may lose it.
     place: ConnectionMemory,
+    /// Memory for its large frames.
+    room: Rc<ReceiveRoom>,
+    claim: Option<RoomClaim>,
+}
+
+impl LinkLimits {
+    /// Waits for the memory of frames that have arrived in part, of `bytes` in all.
+    async fn claim(&mut self, bytes: usize) -> io::Result<()> {
+        if bytes <= SMALL_FRAME_BYTES {
+            self.claim = None;
+        } else if self.claim.as_ref().is_none_or(|claim| claim.bytes() < bytes) {
+            // Claims that grow must not wait for each other.
+            self.claim = None;
+            self.claim = Some(self.room.claim(bytes).await?);
+        }
+        Ok(())
+    }
+
+    /// Records received bytes. Fails if the memory is needed for connections that make progress.
+    fn record_progress(&mut self, bytes: usize) -> io::Result<()> {
+        let Some(claim) = &mut self.claim else { return Ok(()) };
+        claim.record_progress(bytes);
+        match claim.is_stalled() {
+            true => Err(io::Error::new(io::ErrorKind::TimedOut, "frame without progress")),
+            false => Ok(()),
+        }
+    }
 }
 
 /// Accepts connections of other hosts for as long as the process runs.
@@ -84,12 +114,13 @@
     bounds: MemoryBounds,
     memory: Rc<MemoryGate>,
 ) {
+    let room = ReceiveRoom::new(bounds.received_frames);
     loop {
         memory.connection_room(ConnectionGroup::Hosts).await;
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let place = memory.open(ConnectionGroup::Hosts);
-                let limits = Some(LinkLimits { place });
+                let limits = Some(LinkLimits { place, room: room.clone(), claim: None });
                 spawn_local(run_link(stream, peer, limits, events.clone(), bounds));
             }
             Err(error) => {
@@ -185,7 +216,7 @@
 async fn read_frames(
     mut reader: tokio::net::tcp::OwnedReadHalf,
     link: LinkHandle,
-    limits: Option<LinkLimits>,
+    mut limits: Option<LinkLimits>,
     events: &mpsc::Sender<LinkEvent>,
     last_progress: Rc<Cell<Instant>>,
 ) -> io::Result<()> {
@@ -213,6 +244,10 @@
                 }
             }
         }
+        if let Some(limits) = &mut limits {
+            limits.claim(decoder.pending_bytes()).await?;
+        }
+        decoder.make_room();
         let reading = timeout(PING_INTERVAL, reader.read_buf(&mut decoder.buffer));
         let received = match &limits {
             Some(limits) => tokio::select! {
@@ -224,6 +259,11 @@
             },
             None => reading.await,
         };
+        if let Some(limits) = &mut limits {
+            limits.record_progress(
+                received.as_ref().map_or(0, |read| *read.as_ref().unwrap_or(&0)),
+            )?;
+        }
         let is_idle = link.frames.last_push().elapsed() >= MAX_SEND_INTERVAL;
         if is_outbound && (received.is_err() || is_idle) {
             link.send(&LinkMessage::Ping);
--- a/crates/gw-gateway/src/link/mod.rs
+++ b/crates/gw-gateway/src/link/mod.rs
@@ -15,6 +15,7 @@
 mod link_handle;
 mod link_message;
 mod link_task;
+mod receive_room;
 
 pub(crate) use cold_message::ColdMessage;
 pub(crate) use cold_message::GrantReport;
--- a/crates/gw-gateway/src/memory_bounds.rs
+++ b/crates/gw-gateway/src/memory_bounds.rs
@@ -4,7 +4,7 @@
 /// Bounds in bytes of what a host holds for the control log and for its links, as shares of the
 /// memory that its process may use.
 ///
-/// At the default of 256 MiB they add up to a quarter of it; decoded commands, the state and its
+/// At the default of 256 MiB they add up to five sixteenths of it; decoded commands, the state and its
 /// encoded form come on top, each of about the size of a configuration. The rest is for callers and
 /// targets.
 #[derive(Clone, Copy, Debug)]
@@ -41,6 +41,9 @@
     /// States and updates that wait for all connections to entry hosts together, each counted once.
     /// Fits some versions of a large configuration that are on their way over slow links.
     pub(crate) shared_frames: usize,
+    /// Large frames that arrive together on the connections that other hosts have opened, beyond a
+    /// single one; fits the largest command.
+    pub(crate) received_frames: usize,
 }
 
 impl MemoryBounds {
@@ -66,6 +69,7 @@
             large_frames: memory / 64,
             small_frames: memory / 512,
             shared_frames: memory / 16,
+            received_frames: memory / 16,
         }
     }
 }
