fix(gw-gateway): requests that are read ahead take the memory that is counted for them

What callers saw: 300 connections that each sent 300 requests at once without reading ended an entry host of 80 MB by memory.

Cause: the future of the handler (4,512 bytes) was moved into two futures that contain it, each of which kept room for it twice, so that the task of a request had 18,176 bytes. The budget counted 4 KiB.

Change: the future is boxed once and counted by its size, with 2 KiB for the rest.

--- a/crates/gw-gateway/src/callers/caller_connection.rs
+++ b/crates/gw-gateway/src/callers/caller_connection.rs
@@ -44,9 +44,9 @@
 const SMALL_BYTES: usize = 4 * 1024;
 /// Memory of a parsed head, as a multiple of its length.
 const PARSED_HEAD_FACTOR: usize = 2;
-/// Memory of a request that waits or runs beside its head and body, in bytes: its task and its place
-/// in queues.
-const REQUEST_BYTES: usize = 4 * 1024;
+/// Memory of a request that waits or runs beside its head, its body and the future of its handler, in
+/// bytes: its task and its place in queues.
+const REQUEST_BYTES: usize = 2 * 1024;
 /// Memory of the head of a response, in bytes.
 const RESPONSE_HEAD_BYTES: usize = 1024;
 /// Bytes by which a body of unknown length grows at least.
@@ -355,10 +355,11 @@
             let response = self.handler.refuse_for_memory();
             return self.push(method, version, false, async move { response });
         }
-        let held = self
-            .memory
-            .finish_body(request.body().len() + head_bytes * PARSED_HEAD_FACTOR + REQUEST_BYTES);
-        let responding = self.handler.clone().respond(request, turn);
+        let parsed_bytes = request.body().len() + head_bytes * PARSED_HEAD_FACTOR;
+        // Each future that contains this one would otherwise have twice its size.
+        let responding = Box::pin(self.handler.clone().respond(request, turn));
+        let held =
+            self.memory.finish_body(parsed_bytes + size_of_val(&*responding) + REQUEST_BYTES);
         let response = async move {
             let response = responding.await;
             drop(held);
