fix(gw-gateway): connections that end after a refusal hold no buffer

What callers saw: callers that sent small bodies at the same time, without their last bytes, twice after each other, took an entry host of 80 MB over its memory.

Cause: a connection that ends after its response reads and drops what still arrives for 100 ms, with a buffer of 16 KiB of its own. Hundreds that are refused at the same time held such buffers, which nothing counted, beside the bodies that used the whole budget.

Change: what arrives is dropped through a buffer on the stack.

Evidence: gw-platform/request_memory: refused_small_bodies_are_bounded_in_sum failed before with 83,640 and 83,596 kB (81,920 allowed) and passes with 76,640 and 76,616 kB.

--- a/crates/gw-gateway/src/callers/caller_connection.rs
+++ b/crates/gw-gateway/src/callers/caller_connection.rs
@@ -1,4 +1,5 @@
 use std::collections::VecDeque;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -522,10 +523,17 @@
     if writer.shutdown().await.is_err() {
         return;
     }
-    let mut dropped = vec![0; LINGER_READ_BYTES];
-    while let Ok(Ok(count)) = timeout_at(end, reader.read(&mut dropped)).await {
-        if count == 0 {
-            return;
+    while let Ok(Ok(())) = timeout_at(end, reader.readable()).await {
+        match drop_arrived(reader) {
+            Ok(count) if count > 0 => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            _ => return,
         }
     }
 }
+
+/// Reads what has arrived and drops it. The buffer is on the stack: hundreds of connections may linger
+/// at the same time.
+fn drop_arrived(reader: &OwnedReadHalf) -> io::Result<usize> {
+    reader.try_read(&mut [0; LINGER_READ_BYTES])
+}
