--- a/crates/gw-gateway/src/callers/caller_connection.rs
+++ b/crates/gw-gateway/src/callers/caller_connection.rs
@@ -1,4 +1,5 @@
 use std::collections::VecDeque;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,9 +45,9 @@
 const SMALL_BYTES: usize = 4 * 1024;
 /// Memory of a parsed head, as a multiple of its length.
 const PARSED_HEAD_FACTOR: usize = 2;
-/// Memory of a request that waits or runs beside its head and body, in bytes: its task and its place
-/// in queues.
-const REQUEST_BYTES: usize = 4 * 1024;
+/// Memory of a request that waits or runs beside its head, its body and the future of its handler, in
+/// bytes: its task and its place in queues.
+const REQUEST_BYTES: usize = 2 * 1024;
 /// Memory of the head of a response, in bytes.
 const RESPONSE_HEAD_BYTES: usize = 1024;
 /// Bytes by which a body of unknown length grows at least.
@@ -355,10 +356,11 @@
             let response = self.handler.refuse_for_memory();
             return self.push(method, version, false, async move { response });
         }
-        let held = self
-            .memory
-            .finish_body(request.body().len() + head_bytes * PARSED_HEAD_FACTOR + REQUEST_BYTES);
-        let responding = self.handler.clone().respond(request, turn);
+        let parsed_bytes = request.body().len() + head_bytes * PARSED_HEAD_FACTOR;
+        // Each future that contains this one would otherwise have twice its size.
+        let responding = Box::pin(self.handler.clone().respond(request, turn));
+        let held =
+            self.memory.finish_body(parsed_bytes + size_of_val(&*responding) + REQUEST_BYTES);
         let response = async move {
             let response = responding.await;
             drop(held);
@@ -521,10 +523,17 @@
     if writer.shutdown().await.is_err() {
         return;
     }
-    let mut dropped = vec![0; LINGER_READ_BYTES];
-    while let Ok(Ok(count)) = timeout_at(end, reader.read(&mut dropped)).await {
-        if count == 0 {
-            return;
+    while let Ok(Ok(())) = timeout_at(end, reader.readable()).await {
+        match drop_arrived(reader) {
+            Ok(count) if count > 0 => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            _ => return,
         }
     }
 }
+
+/// Reads what has arrived and drops it. The buffer is on the stack: hundreds of connections may linger
+/// at the same time.
+fn drop_arrived(reader: &OwnedReadHalf) -> io::Result<usize> {
+    reader.try_read(&mut [0; LINGER_READ_BYTES])
+}
--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use bytes::Buf;
+use gw_balance::ConnectionGroup;
+use gw_balance::ConnectionState;
 use gw_daemon::BootClock;
 use gw_fleet::FormatVersion;
 use gw_types::Clock;
@@ -24,6 +26,11 @@
 use crate::link::LinkMessage;
 use crate::link::frame_decoder::FrameDecoder;
 use crate::link::frame_decoder::ReceivedFrame;
+use crate::link::receive_room::ReceiveRoom;
+use crate::link::receive_room::RoomClaim;
+use crate::link::receive_room::SMALL_FRAME_BYTES;
+use crate::memory::ConnectionMemory;
+use crate::memory::MemoryGate;
 use crate::memory_bounds::MemoryBounds;
 use crate::ports::TargetDialer;
 use crate::targets::set_socket_options;
@@ -70,17 +77,55 @@
     Closed { id: LinkId },
 }
 
+/// What a connection that another host has opened may use of this host.
+struct LinkLimits {
+    /// Its place among the connections. One that has not introduced itself may lose it.
+    place: ConnectionMemory,
+    /// Memory for its large frames.
+    room: Rc<ReceiveRoom>,
+    claim: Option<RoomClaim>,
+}
+
+impl LinkLimits {
+    /// Waits for the memory of frames that have arrived in part, of `bytes` in all.
+    async fn claim(&mut self, bytes: usize) -> io::Result<()> {
+        if bytes <= SMALL_FRAME_BYTES {
+            self.claim = None;
+        } else if self.claim.as_ref().is_none_or(|claim| claim.bytes() < bytes) {
+            // Claims that grow must not wait for each other.
+            self.claim = None;
+            self.claim = Some(self.room.claim(bytes).await?);
+        }
+        Ok(())
+    }
+
+    /// Records received bytes. Fails if the memory is needed for connections that make progress.
+    fn record_progress(&mut self, bytes: usize) -> io::Result<()> {
+        let Some(claim) = &mut self.claim else { return Ok(()) };
+        claim.record_progress(bytes);
+        match claim.is_stalled() {
+            true => Err(io::Error::new(io::ErrorKind::TimedOut, "frame without progress")),
+            false => Ok(()),
+        }
+    }
+}
+
 /// Accepts connections of other hosts for as long as the process runs.
 pub(crate) async fn accept_links(
     listener: TcpListener,
     events: mpsc::Sender<LinkEvent>,
     bounds: MemoryBounds,
+    memory: Rc<MemoryGate>,
 ) {
+    let room = ReceiveRoom::new(bounds.received_frames);
     loop {
+        memory.connection_room(ConnectionGroup::Hosts).await;
         match listener.accept().await {
             Ok((stream, peer)) => {
+                let place = memory.open(ConnectionGroup::Hosts);
+                let limits = Some(LinkLimits { place, room: room.clone(), claim: None });
                 let (events, unwanted) = (events.clone(), std::future::pending());
-                spawn_local(run_link(stream, (peer, false), events, bounds, unwanted));
+                spawn_local(run_link(stream, (peer, limits), events, bounds, unwanted));
             }
             Err(error) => {
                 log::warn!("event=accept_failed listener=peers cause=\"{error}\"");
@@ -108,7 +153,7 @@
         match connected {
             Ok(Ok(stream)) => {
                 is_lost = false;
-                let end = run_link(stream, (peer, true), events.clone(), bounds, unwanted.as_mut());
+                let end = run_link(stream, (peer, None), events.clone(), bounds, unwanted.as_mut());
                 if end.await == LinkEnd::Unwanted {
                     return;
                 }
@@ -138,10 +183,11 @@
 }
 
 /// Runs a connection until it ends, at the latest when `unwanted` does. For each `Opened` event there
-/// is a `Closed` one, and the socket is closed when this returns or is dropped.
+/// is a `Closed` one, and the socket is closed when this returns or is dropped. A connection that another
+/// host has opened has `limits`.
 async fn run_link(
     stream: TcpStream,
-    (peer, is_outbound): (SocketAddr, bool),
+    (peer, limits): (SocketAddr, Option<LinkLimits>),
     events: mpsc::Sender<LinkEvent>,
     bounds: MemoryBounds,
     unwanted: impl Future<Output = ()>,
@@ -154,6 +200,7 @@
     }
     let link = LinkHandle::new(LinkId::next(), BootClock.now(), bounds);
     let (id, frames) = (link.id, link.frames.clone());
+    let is_outbound = limits.is_none();
     let opened = LinkEvent::Opened { link: link.clone(), peer, is_outbound };
     if events.send(opened).await.is_err() {
         return LinkEnd::Lost;
@@ -167,7 +214,7 @@
     };
     // In one task, so that neither side can outlive the other and keep the socket open.
     let (end, cause) = tokio::select! {
-        end = read_frames(reader, link, is_outbound, &events, last_progress.clone()) => {
+        end = read_frames(reader, link, limits, &events, last_progress.clone()) => {
             (LinkEnd::Lost, end.map_or_else(|error| error.to_string(), |()| "closed".to_owned()))
         }
         never = writing => match never {},
@@ -206,10 +253,11 @@
 async fn read_frames(
     mut reader: tokio::net::tcp::OwnedReadHalf,
     link: LinkHandle,
-    is_outbound: bool,
+    mut limits: Option<LinkLimits>,
     events: &mpsc::Sender<LinkEvent>,
     last_progress: Rc<Cell<Instant>>,
 ) -> io::Result<()> {
+    let is_outbound = limits.is_none();
     let mut decoder = FrameDecoder::new();
     let mut has_received = false;
     loop {
@@ -217,6 +265,9 @@
             if let Some(version) = version {
                 link.version.set(version);
                 link.frames.set_takes_fragments(link.supports(FormatVersion::EVACUATIONS));
+                if let Some(limits) = &limits {
+                    limits.place.set_state(ConnectionState::Running);
+                }
             }
             match message {
                 LinkMessage::Ping => {
@@ -234,7 +285,26 @@
         if std::mem::take(&mut has_received) && decoder.holds_part() {
             link.last_part.set(BootClock.now());
         }
-        let received = timeout(PING_INTERVAL, reader.read_buf(&mut decoder.buffer)).await;
+        if let Some(limits) = &mut limits {
+            limits.claim(decoder.pending_bytes()).await?;
+        }
+        decoder.make_room();
+        let reading = timeout(PING_INTERVAL, reader.read_buf(&mut decoder.buffer));
+        let received = match &limits {
+            Some(limits) => tokio::select! {
+                biased;
+                received = reading => received,
+                () = limits.place.told_to_close() => {
+                    return Err(io::Error::new(io::ErrorKind::TimedOut, "not introduced"));
+                }
+            },
+            None => reading.await,
+        };
+        if let Some(limits) = &mut limits {
+            limits.record_progress(
+                received.as_ref().map_or(0, |read| *read.as_ref().unwrap_or(&0)),
+            )?;
+        }
         let is_idle = link.frames.last_push().elapsed() >= MAX_SEND_INTERVAL;
         if is_outbound && (received.is_err() || is_idle) {
             link.send(&LinkMessage::Ping);
