--- a/crates/gw-gateway/src/callers/caller_connection.rs
+++ b/crates/gw-gateway/src/callers/caller_connection.rs
@@ -31,6 +31,7 @@
 use crate::callers::caller_server::CallerHandler;
 use crate::callers::caller_server::CallerLimits;
 use crate::callers::request_turn::TurnCounter;
+use crate::memory::BODY_STEP_BYTES;
 use crate::memory::ConnectionMemory;
 use crate::memory::HeldBytes;
 use crate::targets::reset_on_close;
@@ -49,8 +50,6 @@
 const REQUEST_BYTES: usize = 4 * 1024;
 /// Memory of the head of a response, in bytes.
 const RESPONSE_HEAD_BYTES: usize = 1024;
-/// Bytes by which a body of unknown length grows at least.
-const BODY_STEP_BYTES: usize = 64 * 1024;
 /// Memory of a response that is forwarded as it arrives: the buffer of the target's connection and one
 /// piece.
 const STREAM_BYTES: usize = 72 * 1024;
@@ -286,16 +285,12 @@
     /// Makes sure that the body which is arriving has the memory for its next part, or waits for it.
     fn demand_memory(&mut self) {
         let Some((len, length)) = self.parser.body_len() else { return };
-        let granted = self.memory.granted();
         let most = self.limits.parser.body_bytes;
         let needed = length.unwrap_or((len + BODY_STEP_BYTES).min(most));
-        if self.awaited.is_some() || needed <= granted {
+        if self.awaited.is_some() || needed <= self.memory.granted() {
             return;
         }
-        // A body of unknown length asks for a quarter more than it has, so that it asks seldom.
-        let step = granted + (granted / 4).max(BODY_STEP_BYTES);
-        let step = step.min(most).min(self.memory.gate().largest_body());
-        let bytes = length.unwrap_or(step.max(needed));
+        let bytes = length.unwrap_or_else(|| self.memory.next_size(needed, most));
         let head = self.parser.started_head();
         let max_wait = head.map_or(Duration::ZERO, |head| self.handler.max_body_wait(head));
         match self.memory.demand(bytes, max_wait) {
--- a/crates/gw-gateway/src/callers/caller_server.rs
+++ b/crates/gw-gateway/src/callers/caller_server.rs
@@ -9,6 +9,7 @@
 use gw_pipeline::RequestBody;
 use http::Request;
 use http::Response;
+use http::request;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -52,7 +53,7 @@
     fn refuse_for_memory(&self) -> Response<ResponseBody>;
 
     /// Longest time for which the body of a request may wait before it is read.
-    fn max_body_wait(&self, head: &Request<()>) -> Duration;
+    fn max_body_wait(&self, head: &request::Parts) -> Duration;
 
     /// Memory of the host, and the group of its connections.
     fn memory(&self) -> (Rc<MemoryGate>, ConnectionGroup);
--- a/crates/gw-gateway/src/control/call_body.rs
+++ b/crates/gw-gateway/src/control/call_body.rs
@@ -15,8 +15,6 @@
 /// Longest time for which a body waits for memory before it is read. Clients try another control host
 /// after a second.
 const MAX_BODY_WAIT: Duration = Duration::from_millis(800);
-/// Bytes by which a body of unknown length grows at least.
-const BODY_STEP_BYTES: usize = 64 * 1024;
 
 /// Reason why the body of a call was not read.
 pub(crate) enum CallBodyError {
@@ -67,11 +65,8 @@
         if needed > BODY_LIMIT {
             return Err(CallBodyError::TooLarge);
         }
-        let granted = memory.granted();
-        if needed > granted {
-            let step = granted + (granted / 4).max(BODY_STEP_BYTES);
-            let step = step.min(BODY_LIMIT).min(memory.gate().largest_body());
-            demand(memory, needed.max(step)).await?;
+        if needed > memory.granted() {
+            demand(memory, memory.next_size(needed, BODY_LIMIT)).await?;
             bytes.reserve_exact(memory.granted() - bytes.len());
         }
         bytes.extend_from_slice(&data);
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -11,7 +11,6 @@
 use gw_balance::HostCount;
 use gw_balance::LearningTime;
 use gw_balance::LimitTable;
-use gw_balance::LoadUses;
 use gw_balance::PreferredTargets;
 use gw_balance::RequestQueue;
 use gw_balance::SentBytes;
@@ -157,8 +156,7 @@
         let transfers = TransferGate::new(settings.link_rate);
         let metrics = Rc::new(GatewayMetrics::default());
         let memory = MemoryGate::new(&settings, MEMORY_SHARE, SOCKET_BUFFER_BYTES, metrics.clone());
-        let mut pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
-        pool.set_load_uses(LoadUses::default());
+        let pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
         Rc::new(Self {
             settings: RefCell::new(settings),
             adapter,
--- a/crates/gw-gateway/src/entry/read_request.rs
+++ b/crates/gw-gateway/src/entry/read_request.rs
@@ -5,7 +5,6 @@
 use gw_pipeline::RequestBody;
 use gw_routing::RouteRule;
 use gw_types::KeyHash;
-use http::Request;
 use http::StatusCode;
 use http::header;
 use http::request;
@@ -59,28 +58,23 @@
     }
 }
 
-/// Returns how long the caller waits for the response, as far as it is known without a route.
-fn caller_timeout(host: &EntryHost, head: &request::Parts) -> Duration {
-    host.adapter.read_request_metadata(head).timeout.unwrap_or(DEFAULT_TIMEOUT)
-}
-
 /// Waits, in the first moments of the process, until this host has a configuration.
 pub(crate) async fn wait_for_config(host: &EntryHost, head: &request::Parts, started: Instant) {
     if host.config().is_none() {
-        let patience = caller_timeout(host, head).mul_f64(STARTUP_WAIT_SHARE);
-        host.wait_for_config((host.started_at + STARTUP_TIME).min(started + patience)).await;
+        let timeout = host.adapter.read_request_metadata(head).timeout.unwrap_or(DEFAULT_TIMEOUT);
+        let end = started + timeout.mul_f64(STARTUP_WAIT_SHARE);
+        host.wait_for_config((host.started_at + STARTUP_TIME).min(end)).await;
     }
 }
 
 /// Looks up the route and service of a request.
 pub(crate) fn read_request(
     host: &Rc<EntryHost>,
-    request: Request<RequestBody>,
+    (mut head, body): (request::Parts, RequestBody),
     origin: RequestOrigin,
     started: Instant,
     number: u64,
 ) -> Result<ReadRequest, LocalReply> {
-    let (mut head, body) = request.into_parts();
     let mut metadata = host.adapter.read_request_metadata(&head);
     let (mut age, mut max_attempts) = (Duration::ZERO, u32::MAX);
     if origin == RequestOrigin::EntryHost
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -12,6 +12,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::request;
 use tokio::time::Instant;
 
 use crate::callers::CallerHandler;
@@ -134,9 +135,8 @@
         refusal.response_to(self.origin)
     }
 
-    fn max_body_wait(&self, head: &Request<()>) -> Duration {
-        let (head, ()) = head.clone().into_parts();
-        let timeout = self.host.adapter.read_request_metadata(&head).timeout;
+    fn max_body_wait(&self, head: &request::Parts) -> Duration {
+        let timeout = self.host.adapter.read_request_metadata(head).timeout;
         timeout.map_or(MAX_BODY_WAIT, |timeout| MAX_BODY_WAIT.min(timeout.mul_f64(BODY_WAIT_SHARE)))
     }
 
@@ -164,21 +164,21 @@
     let number = host.next_number();
     let (head, body) = request.into_parts();
     wait_for_config(&host, &head, started).await;
-    let request = Request::from_parts(head, body);
-    let (service, response, outcome) = match read_request(&host, request, origin, started, number) {
-        Ok(read) => {
-            if read.rule.repeat == RepeatRule::AtMostOnce {
-                turn.wait().await;
+    let (service, response, outcome) =
+        match read_request(&host, (head, body), origin, started, number) {
+            Ok(read) => {
+                if read.rule.repeat == RepeatRule::AtMostOnce {
+                    turn.wait().await;
+                }
+                let service = read.params.service.clone();
+                let (response, outcome) = forward_request(&host, &read).await;
+                (service.to_string(), response, outcome)
             }
-            let service = read.params.service.clone();
-            let (response, outcome) = forward_request(&host, &read).await;
-            (service.to_string(), response, outcome)
-        }
-        Err(refusal) => {
-            log_refusal(&host, number, &refusal);
-            ("none".to_owned(), refusal.response_to(origin), refusal.reason)
-        }
-    };
+            Err(refusal) => {
+                log_refusal(&host, number, &refusal);
+                ("none".to_owned(), refusal.response_to(origin), refusal.reason)
+            }
+        };
     host.metrics.count_request(&service, outcome, started.elapsed());
     response
 }
--- a/crates/gw-gateway/src/memory/connection_memory.rs
+++ b/crates/gw-gateway/src/memory/connection_memory.rs
@@ -11,6 +11,9 @@
 use crate::memory::HeldBytes;
 use crate::memory::MemoryGate;
 
+/// Bytes by which a body of unknown length grows at least.
+pub(crate) const BODY_STEP_BYTES: usize = 64 * 1024;
+
 /// Verdicts that a connection has not acted on yet.
 #[derive(Default)]
 pub(super) struct VerdictCell {
@@ -91,6 +94,14 @@
         self.granted.get()
     }
 
+    /// Returns the size for which a body of unknown length asks that needs `needed` bytes and is
+    /// limited to `limit`: a quarter more than was granted, so that it asks seldom.
+    pub(crate) fn next_size(&self, needed: usize, limit: usize) -> usize {
+        let granted = self.granted.get();
+        let step = granted + (granted / 4).max(BODY_STEP_BYTES);
+        step.min(limit).min(self.gate.largest_body()).max(needed)
+    }
+
     /// Asks for memory so that the body that is arriving may grow to `bytes`.
     pub(crate) fn demand(&self, bytes: usize, max_wait: Duration) -> DemandAnswer {
         let answer =
--- a/crates/gw-gateway/src/memory/memory_gate.rs
+++ b/crates/gw-gateway/src/memory/memory_gate.rs
@@ -78,7 +78,7 @@
     }
 
     /// Largest body, in bytes, that this host can ever hold.
-    pub(crate) fn largest_body(&self) -> usize {
+    pub(super) fn largest_body(&self) -> usize {
         self.limits.largest_body()
     }
 
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -84,6 +84,23 @@
     }
 }
 
+/// Takes the newest connection to `address` from a pool that is open and has been idle for less than
+/// `max_idle`.
+fn take_newest(
+    pool: &RefCell<Vec<IdleConnection>>,
+    address: SocketAddr,
+    max_idle: Duration,
+) -> Option<TargetConnection> {
+    let now = Instant::now();
+    let mut pool = pool.borrow_mut();
+    pool.retain(|pooled| pooled.is_open(now));
+    let is_usable = |pooled: &IdleConnection| {
+        pooled.address == address && now.duration_since(pooled.idle_since) < max_idle
+    };
+    let newest = pool.iter().rposition(is_usable)?;
+    Some(pool.remove(newest).connection)
+}
+
 /// A response of which the head has arrived.
 struct ReceivedHead {
     response: Response<Incoming>,
@@ -130,25 +147,6 @@
         self.opened.get()
     }
 
-    fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<TargetConnection> {
-        let now = Instant::now();
-        let mut idle = self.idle.borrow_mut();
-        idle.retain(|pooled| pooled.is_open(now));
-        let is_usable = |pooled: &IdleConnection| {
-            pooled.address == address && now.duration_since(pooled.idle_since) < max_idle
-        };
-        let newest = idle.iter().rposition(is_usable)?;
-        Some(idle.remove(newest).connection)
-    }
-
-    fn take_ahead(&self, address: SocketAddr) -> Option<TargetConnection> {
-        let now = Instant::now();
-        let mut ahead = self.ahead.borrow_mut();
-        ahead.retain(|unused| unused.is_open(now));
-        let newest = ahead.iter().rposition(|unused| unused.address == address)?;
-        Some(ahead.remove(newest).connection)
-    }
-
     /// Opens a connection for a later exclusive exchange with `address`, in the background.
     ///
     /// A target may accept a connection only when one of its slots is free, which takes as long as a
@@ -228,8 +226,8 @@
         let mut request = request;
         loop {
             let pooled = match options.connection {
-                ConnectionUse::Shared { max_idle } => self.take_idle(address, max_idle),
-                ConnectionUse::Exclusive => self.take_ahead(address),
+                ConnectionUse::Shared { max_idle } => take_newest(&self.idle, address, max_idle),
+                ConnectionUse::Exclusive => take_newest(&self.ahead, address, AHEAD_TIME),
             };
             let is_pooled = pooled.is_some();
             let mut connection = match pooled {
--- a/crates/gw-pipeline/src/request_parser.rs
+++ b/crates/gw-pipeline/src/request_parser.rs
@@ -10,6 +10,7 @@
 use http::Uri;
 use http::Version;
 use http::header;
+use http::request;
 
 use crate::ParseError;
 use crate::ParsedRequest;
@@ -30,7 +31,7 @@
 /// A request whose head is complete.
 #[derive(Debug)]
 struct StartedRequest {
-    head: Request<()>,
+    head: request::Parts,
     /// Length of the head in bytes.
     head_bytes: usize,
     keeps_alive: bool,
@@ -92,7 +93,7 @@
     }
 
     /// Head of the request whose body is being collected.
-    pub fn started_head(&self) -> Option<&Request<()>> {
+    pub fn started_head(&self) -> Option<&request::Parts> {
         self.started.as_ref().map(|started| &started.head)
     }
 
@@ -145,7 +146,7 @@
         let Some(StartedRequest { head, head_bytes, keeps_alive, .. }) = self.started.take() else {
             return Ok(None);
         };
-        let request = head.map(|()| body);
+        let request = Request::from_parts(head, body);
         Ok(Some(ParsedRequest { request, head_bytes, keeps_alive }))
     }
 
@@ -202,11 +203,11 @@
     };
     let awaits_continue =
         version == Version::HTTP_11 && has_token(&headers, &header::EXPECT, "100-continue");
-    let mut head = Request::new(());
-    *head.method_mut() = method.map_err(|_| malformed)?;
-    *head.uri_mut() = uri.map_err(|_| malformed)?;
-    *head.version_mut() = version;
-    *head.headers_mut() = headers;
+    let (mut head, ()) = Request::new(()).into_parts();
+    head.method = method.map_err(|_| malformed)?;
+    head.uri = uri.map_err(|_| malformed)?;
+    head.version = version;
+    head.headers = headers;
     Ok(StartedRequest { head, head_bytes, keeps_alive, awaits_continue, body })
 }
 
