fix(gw-daemon): a control host takes part again once its disk has room

What operators saw: after the disks of two of three control hosts had been full for 3 s each, one after the other, profile changes ended with 5 (outcome unknown) to the end, while all processes ran. OPERATIONS.md named the restart of the process as the remedy.

Opening rewrites the last segment, as at a start of the process, so that nothing that the failed write left is taken for synced. What the host has learned meanwhile stays: entries that are applied already are skipped.

--- a/crates/gw-daemon/src/control/control_thread.rs
+++ b/crates/gw-daemon/src/control/control_thread.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeMap;
 use std::io;
+use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -47,6 +49,9 @@
 const LONGEST_DEADLINE: Duration = Duration::from_millis(gw_profile::LONGEST_DEADLINE_MS as u64);
 /// Time between two updates of the handlers while the control state does not change.
 const HANDLER_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay before a journal that failed, or cannot be opened, is opened again: a full disk may have room
+/// by then.
+const REOPEN_DELAY: Duration = Duration::from_secs(1);
 /// Time between the stop of the state machines and the end of the thread, in which the last
 /// messages are sent.
 const STOP_DELAY: Duration = Duration::from_millis(100);
@@ -219,6 +224,8 @@
         name: settings.host.name.clone(),
         node,
         journal,
+        data: data.map(Path::to_owned),
+        reopen_at: Timestamp::default(),
         transport,
         options,
         client: client.clone(),
@@ -236,7 +243,12 @@
 struct ControlThread {
     name: HostName,
     node: HostNode,
+    /// `None` on a host without control replica, and while the journal cannot be used.
     journal: Option<JournalWriter>,
+    /// Folder of the journal; `None` on a host without control replica.
+    data: Option<PathBuf>,
+    /// Earliest time at which the journal is opened again.
+    reopen_at: Timestamp,
     transport: Arc<PeerTransport>,
     options: ControlOptions,
     client: ControlClient,
@@ -277,6 +289,7 @@
     fn tick(&mut self) {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         self.node.set_wall_clock(wall.as_millis() as u64);
+        self.reopen_journal();
         self.step(NodeEvent::Tick);
         self.options.ready.set(self.node.is_ready());
         let now = self.options.clock.now();
@@ -286,6 +299,25 @@
         }
     }
 
+    /// Opens the journal again if it has failed.
+    fn reopen_journal(&mut self) {
+        let now = self.options.clock.now();
+        let Some(folder) = self.data.as_deref() else { return };
+        if self.journal.is_some() || now < self.reopen_at {
+            return;
+        }
+        match JournalWriter::open(folder) {
+            Ok((journal, recovered)) => {
+                self.journal = Some(journal);
+                self.step(NodeEvent::JournalReopened { recovered });
+            }
+            Err(error) => {
+                log::error!("event=journal_not_opened host={} cause=\"{error}\"", self.name);
+                self.reopen_at = now + REOPEN_DELAY;
+            }
+        }
+    }
+
     fn handle_frame(&mut self, frame: PeerFrame) {
         let PeerFrame { from, boot, message } = frame;
         let mut handlers = self.options.handlers.iter();
@@ -332,6 +364,7 @@
                     Some(Err(error)) => {
                         log::error!("event=journal_failed host={} cause=\"{error}\"", self.name);
                         self.journal = None;
+                        self.reopen_at = self.options.clock.now() + REOPEN_DELAY;
                         self.step(NodeEvent::JournalFailed);
                     }
                     None => self.step(NodeEvent::JournalFailed),
@@ -392,6 +425,7 @@
         StatusChange::ControlLeadershipGained => log::info!("event=leads_control host={host}"),
         StatusChange::ControlLeadershipLost => log::info!("event=left_control host={host}"),
         StatusChange::JournalFailed => log::error!("event=replica_stopped host={host}"),
+        StatusChange::JournalReopened => log::info!("event=replica_started host={host}"),
         StatusChange::HostUnreachable(peer) => {
             log::warn!("event=host_unreachable host={host} peer={peer}");
         }
--- a/crates/gw-node/src/control_log.rs
+++ b/crates/gw-node/src/control_log.rs
@@ -4,7 +4,9 @@
 use gw_agreement::LogIndex;
 use gw_agreement::Message as AgreementMessage;
 use gw_agreement::PersistToken;
+use gw_agreement::RecoveredState;
 use gw_agreement::ReplicaNode;
+use gw_agreement::ReplicaOptions;
 use gw_agreement::Term;
 use gw_control::ControlCommand;
 use gw_control::ControlLearner;
@@ -47,6 +49,8 @@
 /// from the applied entries, and proposals under way.
 pub(crate) struct ControlLog {
     pub(crate) host: HostId,
+    /// Options with which the replica is started again after its journal failed.
+    options: ReplicaOptions,
     /// All control replicas, sorted.
     pub(crate) replicas: Vec<HostId>,
     pub(crate) replica: Option<ReplicaNode>,
@@ -73,7 +77,7 @@
 
 impl ControlLog {
     pub(crate) fn new(
-        host: HostId,
+        options: ReplicaOptions,
         replicas: Vec<HostId>,
         replica: Option<ReplicaNode>,
         recovered: Option<&[u8]>,
@@ -87,7 +91,8 @@
         let history = EntryHistory::new(learner.applied());
         let last_snapshot = learner.applied();
         Self {
-            host,
+            host: options.id,
+            options,
             replicas,
             replica,
             learner,
@@ -157,6 +162,13 @@
         std::mem::take(&mut self.applied)
     }
 
+    /// Starts the replica in the state that its journal holds, which may be behind what this host has
+    /// learned meanwhile.
+    pub(crate) fn start_replica(&mut self, now: Timestamp, recovered: RecoveredState) {
+        self.replica = Some(ReplicaNode::new(self.options.clone(), recovered, now));
+        self.applied_term = Term::default();
+    }
+
     /// Stops the replica after its journal failed. The host continues as a learner.
     pub(crate) fn stop_replica(&mut self) {
         self.replica = None;
--- a/crates/gw-node/src/host_node.rs
+++ b/crates/gw-node/src/host_node.rs
@@ -116,11 +116,11 @@
         let replicas: Vec<_> =
             hosts.iter().filter(|entry| entry.control).map(|entry| entry.id).collect();
         let mut snapshot = None;
+        let membership = Membership::of_voters(replicas.iter().copied());
+        let settings = ReplicaOptions::new(own.id, membership, options.seed);
         let replica = options.recovered.map(|recovered| {
             snapshot = recovered.snapshot.as_ref().map(|snapshot| snapshot.data.clone());
-            let membership = Membership::of_voters(replicas.iter().copied());
-            let settings = ReplicaOptions::new(own.id, membership, options.seed);
-            ReplicaNode::new(settings, recovered, now)
+            ReplicaNode::new(settings.clone(), recovered, now)
         });
         let members = hosts.iter().filter(|entry| entry.is_entry() && entry.zone == own.zone);
         let members: Vec<_> = members.map(|entry| entry.id).collect();
@@ -133,7 +133,7 @@
             zones: zones.clone(),
             zone_peers: members.iter().copied().filter(|id| *id != own.id).collect(),
             longest_deadline: options.longest_deadline,
-            control: ControlLog::new(own.id, replicas, replica, snapshot.as_deref()),
+            control: ControlLog::new(settings, replicas, replica, snapshot.as_deref()),
             leases: LeaseManager::new(&own, options.boot, members, zones, now),
             leader: None,
             delegation_planner: DelegationPlanner::default(),
@@ -193,6 +193,10 @@
                 self.control.stop_replica();
                 out.push(NodeAction::StatusChanged(StatusChange::JournalFailed));
             }
+            NodeEvent::JournalReopened { recovered } => {
+                self.control.start_replica(now, recovered);
+                out.push(NodeAction::StatusChanged(StatusChange::JournalReopened));
+            }
             NodeEvent::Announce { call, announcement } => {
                 self.announce(now, call, &announcement, out);
             }
--- a/crates/gw-node/src/node_action.rs
+++ b/crates/gw-node/src/node_action.rs
@@ -108,6 +108,8 @@
     ControlLeadershipLost,
     /// The journal failed, so the control replica of this host has stopped.
     JournalFailed,
+    /// The journal was opened again, so the control replica of this host has started again.
+    JournalReopened,
     /// Heartbeats of another host no longer arrive.
     HostUnreachable(HostId),
     /// Heartbeats of another host arrive again, or for the first time.
--- a/crates/gw-node/src/node_event.rs
+++ b/crates/gw-node/src/node_event.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use gw_agreement::PersistToken;
+use gw_agreement::RecoveredState;
 use gw_control::ControlCommand;
 use gw_membership::TargetAnnouncement;
 use gw_membership::TargetReport;
@@ -38,6 +39,12 @@
     /// A journal write or sync failed. The host continues without its control replica, because the
     /// content of the journal on disk is unknown from then on.
     JournalFailed,
+    /// The journal was opened again after it had failed. The host continues with a control replica in
+    /// the state that was synced.
+    JournalReopened {
+        /// What the journal holds.
+        recovered: RecoveredState,
+    },
     /// A target announced itself or renewed its announcement at this host.
     Announce {
         /// Id for the [`Announced`](crate::NodeAction::Announced) or
