--- a/crates/gw-node/tests/faults.rs
+++ b/crates/gw-node/tests/faults.rs
@@ -20,6 +20,9 @@
 const SERVICE: &str = "slips";
 const KEYS: u32 = 12;
 const DEFAULT_SCHEDULES: u64 = 400;
+/// Kinds of faults, without and with full disks.
+const KINDS: u64 = 12;
+const KINDS_WITH_DISKS: u64 = 16;
 const DEFAULT_SEED: u64 = 1;
 const THREADS: u64 = 8;
 const WARM_UP: Duration = Duration::from_secs(7);
@@ -113,12 +116,12 @@
     cluster
 }
 
-/// Injects one random fault.
-fn inject(cluster: &mut SimulatedCluster, random: &mut Generator) {
+/// Injects one random fault of the first `kinds`.
+fn inject(cluster: &mut SimulatedCluster, random: &mut Generator, kinds: u64) {
     let hosts = cluster.hosts.len() as u64;
     let host = random.below(hosts) as usize;
     let targets = cluster.targets.len() as u64;
-    match random.below(12) {
+    match random.below(kinds) {
         0 => cluster.kill(host),
         1 | 2 => {
             cluster.kill(host);
@@ -155,15 +158,19 @@
             // A restarted target has lost the requests of its previous process.
             cluster.requests.retain(|request| request.target != name);
         }
-        _ => {
+        11 => {
             cluster.links.loss_percent = random.below(20);
             cluster.links.duplicate_percent = random.below(10);
             cluster.links.jitter = Duration::from_millis(random.below(30));
         }
+        _ => {
+            let duration = Duration::from_millis(500 + random.below(4_000));
+            cluster.hosts[host].full_until = cluster.now + duration;
+        }
     }
 }
 
-fn run_schedule(seed: u64) -> Result<(), String> {
+fn run_schedule(seed: u64, kinds: u64) -> Result<(), String> {
     let mut cluster = new_cluster(seed);
     let mut random = Generator(seed.wrapping_mul(0x5851_f42d_4c95_7f2d) + 1);
     let keys: Vec<_> = (0..KEYS).map(|key| KeyHash::of(&key.to_le_bytes())).collect();
@@ -181,7 +188,7 @@
     run(&mut cluster, WARM_UP)?;
     let end = cluster.now + FAULTS;
     while cluster.now < end {
-        inject(&mut cluster, &mut random);
+        inject(&mut cluster, &mut random, kinds);
         for key in &keys {
             let duration = Duration::from_millis(random.below(1_000));
             cluster.send_request(SERVICE, *key, duration);
@@ -208,6 +215,9 @@
             cluster.start(host);
         }
     }
+    for host in &mut cluster.hosts {
+        host.full_until = cluster.now;
+    }
     for target in &mut cluster.targets {
         target.is_alive = true;
     }
@@ -237,6 +247,17 @@
 /// shutdowns, and targets that stop announcing themselves or restart.
 #[test]
 fn invariants_hold_under_generated_faults() {
+    run_schedules(KINDS);
+}
+
+/// Guards against the same while disks of control replicas are full for some time: a replica that starts
+/// again from what its journal holds, behind what its host has learned meanwhile.
+#[test]
+fn invariants_hold_with_full_disks() {
+    run_schedules(KINDS_WITH_DISKS);
+}
+
+fn run_schedules(kinds: u64) {
     let first = number("GW_SEED", DEFAULT_SEED);
     let count = number("GW_SCHEDULES", DEFAULT_SCHEDULES);
     let faults: Vec<_> = std::thread::scope(|scope| {
@@ -244,7 +265,7 @@
             move || -> Vec<String> {
                 let seeds = (first..first + count).filter(|seed| seed % THREADS == thread);
                 let faults = seeds.filter_map(|seed| {
-                    run_schedule(seed).err().map(|fault| format!("seed {seed}: {fault}"))
+                    run_schedule(seed, kinds).err().map(|fault| format!("seed {seed}: {fault}"))
                 });
                 faults.collect()
             }
--- a/crates/gw-node/tests/support/mod.rs
+++ b/crates/gw-node/tests/support/mod.rs
@@ -66,6 +66,10 @@
     pub(crate) paused_until: Option<Timestamp>,
     /// Synced journal of the control replica.
     pub(crate) disk: RecoveredState,
+    /// Until when writes of the journal fail.
+    pub(crate) full_until: Timestamp,
+    /// Whether a write has failed and the journal was not opened again yet.
+    has_failed_journal: bool,
     pub(crate) routes: Arc<RoutingTable>,
     pub(crate) plan: Arc<DispatchPlan>,
     next_tick: Timestamp,
@@ -174,6 +178,8 @@
             clock_offset: random.below(1 << 40),
             paused_until: None,
             disk: RecoveredState::default(),
+            full_until: Timestamp::ZERO,
+            has_failed_journal: false,
             routes: Arc::default(),
             plan: Arc::default(),
             next_tick: Timestamp::ZERO,
@@ -224,6 +230,7 @@
         state.node = Some(HostNode::new(options, now));
         state.next_tick = self.now;
         state.paused_until = None;
+        state.has_failed_journal = false;
     }
 
     /// Kills a host's process. Its synced journal stays.
@@ -235,6 +242,11 @@
         state.routes = Arc::default();
     }
 
+    fn is_journal_failing(&self, host: usize) -> bool {
+        let state = &self.hosts[host];
+        state.has_failed_journal || state.full_until > self.now
+    }
+
     pub(crate) fn pause(&mut self, host: usize, duration: Duration) {
         self.hosts[host].paused_until = Some(self.now + duration);
     }
@@ -371,6 +383,11 @@
             let is_due = state.next_tick <= self.now && state.paused_until.is_none();
             if is_due && state.node.is_some() {
                 state.next_tick = self.now + TICK_INTERVAL;
+                if state.has_failed_journal && state.full_until <= self.now {
+                    state.has_failed_journal = false;
+                    let recovered = state.disk.clone();
+                    self.event(host, NodeEvent::JournalReopened { recovered });
+                }
                 self.event(host, NodeEvent::Tick);
             }
         }
@@ -386,6 +403,10 @@
         for action in actions {
             match action {
                 NodeAction::Send { to, message, .. } => self.send(host, to, message),
+                NodeAction::Persist { .. } if self.is_journal_failing(host) => {
+                    self.hosts[host].has_failed_journal = true;
+                    replies.extend(self.event(host, NodeEvent::JournalFailed));
+                }
                 NodeAction::Persist { token, batch } => {
                     persist(&mut self.hosts[host].disk, batch);
                     replies.extend(self.event(host, NodeEvent::Persisted { token }));
