fix(gw-gateway): connections that are always busy do not keep others out

What callers saw: callers that held all connections of a host and sent a small request on each several times a second kept every other caller out for as long as they stayed; so did clients of a control host.

Cause: at the limit of connections only those without progress for a second were closed. While none was, the host accepted nobody.

Change: while others wait, the oldest connections of the group, at most an eighth of its limit at the same time, end with their next response, which says so.

--- a/crates/gw-balance/src/memory_budget.rs
+++ b/crates/gw-balance/src/memory_budget.rs
@@ -18,6 +18,9 @@
 /// Number of connections that were told to close and are still open, beyond which no other is accepted
 /// in their place.
 const MAX_CLOSING: usize = 8;
+/// Part of a group's connections that are asked to end at the same time, as a divisor. Others wait to be
+/// accepted meanwhile.
+const RETIRING_SHARE: usize = 8;
 /// Interval between two reviews while memory is short.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -59,6 +62,8 @@
     Refused,
     /// The connection makes no progress and its memory is needed.
     Closed,
+    /// Others wait to be accepted: the connection is to end with its next response.
+    Retired,
 }
 
 /// Answer to a new connection.
@@ -68,6 +73,8 @@
     Open,
     /// There is room once this connection has been closed.
     Close(u64),
+    /// There is room once this connection has ended; it is to end with its next response.
+    Retire(u64),
     /// There is none.
     Full,
 }
@@ -87,6 +94,7 @@
     id: u64,
     group: ConnectionGroup,
     state: ConnectionState,
+    opened_at: Timestamp,
     /// Whether a request of the connection was complete.
     has_served: bool,
     /// When it last changed its state or made progress.
@@ -100,6 +108,8 @@
     waiting: Option<WaitingDemand>,
     /// Whether the connection was told to close. It is not told again, and does not count.
     is_closing: bool,
+    /// Whether the connection is to end with its next response.
+    is_retiring: bool,
 }
 
 impl ConnectionEntry {
@@ -178,12 +188,33 @@
             entry.group == group && !is_running && entry.is_stalled(now)
         });
         let first = closable.min_by_key(|(_, entry)| (entry.has_served, entry.active_at));
-        let Some((index, entry)) = first else { return ConnectionAnswer::Full };
+        let Some((index, entry)) = first else { return self.retire_oldest(now, group) };
         let id = entry.id;
         self.set_closing(index, true);
         ConnectionAnswer::Close(id)
     }
 
+    /// Chooses the oldest connection of a group in which all are busy, if it is not new. Otherwise callers that never
+    /// leave would keep all others out.
+    fn retire_oldest(&mut self, now: Timestamp, group: ConnectionGroup) -> ConnectionAnswer {
+        let entries = || self.connections.iter().filter(|entry| entry.group == group);
+        let retiring = entries().filter(|entry| entry.is_retiring).count();
+        let limit = self.limits.connections[group as usize];
+        if retiring >= (limit / RETIRING_SHARE).max(1) {
+            return ConnectionAnswer::Full;
+        }
+        let mut entries = self.connections.iter_mut().filter(|entry| entry.group == group);
+        let is_due = |entry: &ConnectionEntry| {
+            let is_ending = entry.is_retiring || entry.is_closing;
+            !is_ending && now.since(entry.opened_at) >= STALL_TIME
+        };
+        let Some(oldest) = entries.find(|entry| is_due(entry)) else {
+            return ConnectionAnswer::Full;
+        };
+        oldest.is_retiring = true;
+        ConnectionAnswer::Retire(oldest.id)
+    }
+
     /// Adds a connection. Its id must be above all earlier ones.
     pub fn open(&mut self, now: Timestamp, id: u64, group: ConnectionGroup) {
         self.open[group as usize] += 1;
@@ -191,6 +222,7 @@
             id,
             group,
             state: ConnectionState::Idle,
+            opened_at: now,
             has_served: false,
             active_at: now,
             moved: 0,
@@ -198,6 +230,7 @@
             body_since: now,
             waiting: None,
             is_closing: false,
+            is_retiring: false,
         });
     }
 
--- a/crates/gw-balance/tests/memory_budget.rs
+++ b/crates/gw-balance/tests/memory_budget.rs
@@ -168,6 +168,21 @@
                 Connection(1_000, ConnectionAnswer::Open),
             ],
         },
+        BudgetCase {
+            name: "while all connections are busy, the oldest ends with its next response",
+            steps: &[
+                State(900, 1, Running),
+                State(900, 2, Running),
+                State(900, 3, Body),
+                State(900, 4, Running),
+                State(900, 5, Running),
+                Connection(900, ConnectionAnswer::Full),
+                Connection(1_000, ConnectionAnswer::Retire(1)),
+                Connection(1_000, ConnectionAnswer::Full),
+                Close(1),
+                Connection(1_000, ConnectionAnswer::Open),
+            ],
+        },
         BudgetCase {
             name: "a connection that sends a request before it is closed goes on",
             steps: &[
--- a/crates/gw-gateway/src/callers/caller_connection.rs
+++ b/crates/gw-gateway/src/callers/caller_connection.rs
@@ -368,10 +368,15 @@
         };
         // A host that shuts down takes no further request from the connection, so that the response
         // to the last one it has read can announce the end.
-        let is_last = self.handler.is_stopping() || self.is_closing;
+        let is_last = self.is_ending() || self.is_closing;
         self.push(method, version, keeps_alive && !is_last, response);
     }
 
+    /// Whether the connection is to end with its next response.
+    fn is_ending(&self) -> bool {
+        self.handler.is_stopping() || self.memory.is_retired()
+    }
+
     fn push(
         &mut self,
         method: Method,
@@ -452,7 +457,7 @@
         let Some(pending) = self.pending.pop_front() else { return Ok(()) };
         let is_last = !pending.keeps_alive || (!self.reads_requests && self.pending.is_empty());
         // A host that shuts down announces the end with the last response that it will send.
-        let stops = self.pending.is_empty() && self.handler.is_stopping();
+        let stops = self.pending.is_empty() && self.is_ending();
         let closes = is_last || stops;
         self.reads_requests &= !closes;
         let encoder = ResponseEncoder::new(&pending.method, pending.version, closes);
--- a/crates/gw-gateway/src/http_server.rs
+++ b/crates/gw-gateway/src/http_server.rs
@@ -129,11 +129,20 @@
         .max_buf_size(DEFAULT_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let told_to_end = async {
+        tokio::select! {
+            _ = closing.wait_for(|closing| *closing) => {}
+            () = memory.told_to_retire() => {}
+        }
+    };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|closing| *closing) => {
+        () = told_to_end => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection => ended,
+                () = memory.told_to_close() => return,
+            }
         }
         () = memory.told_to_close() => return,
     };
--- a/crates/gw-gateway/src/memory/connection_memory.rs
+++ b/crates/gw-gateway/src/memory/connection_memory.rs
@@ -19,6 +19,8 @@
     decided: Notify,
     is_closed: Cell<bool>,
     closed: Notify,
+    is_retired: Cell<bool>,
+    retired: Notify,
 }
 
 impl VerdictCell {
@@ -28,6 +30,10 @@
                 self.is_closed.set(true);
                 self.closed.notify_one();
             }
+            MemoryVerdict::Retired => {
+                self.is_retired.set(true);
+                self.retired.notify_one();
+            }
             MemoryVerdict::Granted | MemoryVerdict::Refused => {
                 self.is_granted.set(Some(verdict == MemoryVerdict::Granted));
                 self.decided.notify_one();
@@ -144,6 +150,18 @@
         }
     }
 
+    /// Whether the connection is to end with its next response.
+    pub(crate) fn is_retired(&self) -> bool {
+        self.verdict.is_retired.get()
+    }
+
+    /// Waits until the connection is to end with its next response.
+    pub(crate) async fn told_to_retire(&self) {
+        while !self.is_retired() {
+            self.verdict.retired.notified().await;
+        }
+    }
+
     /// Waits until the connection is told to close.
     pub(crate) async fn told_to_close(&self) {
         while !self.verdict.is_closed.get() {
--- a/crates/gw-gateway/src/memory/memory_gate.rs
+++ b/crates/gw-gateway/src/memory/memory_gate.rs
@@ -118,6 +118,10 @@
                     tokio::task::yield_now().await;
                     return;
                 }
+                ConnectionAnswer::Retire(id) => {
+                    self.count_closure("busy");
+                    self.send_verdict(id, MemoryVerdict::Retired);
+                }
                 ConnectionAnswer::Full => tokio::time::sleep(FULL_RETRY_DELAY).await,
             }
         }
@@ -173,7 +177,8 @@
             let verdicts = self.with_budget(|budget, now| budget.review(now));
             for (id, verdict) in verdicts {
                 match verdict {
-                    MemoryVerdict::Granted => {}
+                    // A review retires none.
+                    MemoryVerdict::Granted | MemoryVerdict::Retired => {}
                     MemoryVerdict::Refused => self.count_refusal("memory_full"),
                     MemoryVerdict::Closed => self.count_closure("no_progress"),
                 }
