fix(gw-gateway): orders are relayed through another entry host after one could not reach the target

Cause: an order goes to two entry hosts at most, those of the target's zone first. A host that fails to reach one target does not take its path for lost, and so keeps its rank. If a single target was known when the keys were first assigned, it held all keys in one range, and its grant went through the same hosts for ever: 60 orders in 20 s, all not sent. Change: an entry host that could not send an order to a target comes last for orders to it for 3 s.

--- a/crates/gw-gateway/src/control/order_delivery.rs
+++ b/crates/gw-gateway/src/control/order_delivery.rs
@@ -17,6 +17,7 @@
 use crate::control::control_host::ControlHost;
 use crate::link::CallResult;
 use crate::link::LinkHandle;
+use crate::link::LinkId;
 use crate::link::LinkMessage;
 use crate::targets::send_order;
 
@@ -27,7 +28,8 @@
 /// Longest wait for the outcome of a relayed release. Targets respond to a release when running
 /// requests have ended.
 const RELAY_RELEASE_TIMEOUT: Duration = Duration::from_millis(3_400);
-/// How long orders to a target are relayed first after it could not be reached directly.
+/// How long orders to a target are relayed first after it could not be reached directly, and through
+/// other entry hosts after one could not reach it.
 const DIRECT_RETRY_DELAY: Duration = Duration::from_secs(3);
 /// Age of an entry host's last reported clock after which no orders are relayed through the host.
 const MAX_CLOCK_AGE: Duration = Duration::from_millis(600);
@@ -36,22 +38,51 @@
 /// range, and a hundred moves a second would take the leader's time from its heartbeats.
 const MIN_STEP_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Targets that could not be reached directly, with the time of the last failure.
+/// Targets that could not be reached, with the time of the last failure.
 #[derive(Default)]
-pub(crate) struct UnreachableTargets(RefCell<BTreeMap<TargetName, Timestamp>>);
+pub(crate) struct UnreachableTargets {
+    /// Those that could not be reached directly.
+    direct: RefCell<BTreeMap<TargetName, Timestamp>>,
+    /// Those to which an entry host could not send an order, with the connection to that host. An
+    /// entry host that only fails to reach one target does not take its own path for lost.
+    relayed: RefCell<BTreeMap<(TargetName, LinkId), Timestamp>>,
+}
 
 impl UnreachableTargets {
     /// Whether `target` could not be reached directly a short time ago.
     fn contains(&self, now: Timestamp, target: &TargetName) -> bool {
-        self.0.borrow().get(target).is_some_and(|at| now.since(*at) < DIRECT_RETRY_DELAY)
+        self.direct.borrow().get(target).is_some_and(|at| now.since(*at) < DIRECT_RETRY_DELAY)
     }
 
     /// Records the result of an attempt to reach `target` directly.
     fn record(&self, now: Timestamp, target: &TargetName, is_reached: bool) {
         if is_reached {
-            self.0.borrow_mut().remove(target);
+            self.direct.borrow_mut().remove(target);
         } else {
-            self.0.borrow_mut().insert(target.clone(), now);
+            self.direct.borrow_mut().insert(target.clone(), now);
+        }
+    }
+
+    /// Whether the entry host at the other end of `link` could not send an order to `target` a short
+    /// time ago.
+    fn has_failed(&self, now: Timestamp, target: &TargetName, link: LinkId) -> bool {
+        let relayed = self.relayed.borrow();
+        let failed_at = relayed.get(&(target.clone(), link));
+        failed_at.is_some_and(|at| now.since(*at) < DIRECT_RETRY_DELAY)
+    }
+
+    /// Records the outcome of an order to `target` through an entry host.
+    fn record_relayed(
+        &self,
+        now: Timestamp,
+        target: &TargetName,
+        link: LinkId,
+        outcome: &OrderOutcome,
+    ) {
+        let mut relayed = self.relayed.borrow_mut();
+        relayed.retain(|_, failed_at| now.since(*failed_at) < DIRECT_RETRY_DELAY);
+        if *outcome == OrderOutcome::NotSent {
+            relayed.insert((target.clone(), link), now);
         }
     }
 }
@@ -127,11 +158,11 @@
     zone: &ZoneName,
 ) -> OrderOutcome {
     let target = &order.holder.target;
-    let mut relays = relay_candidates(host, zone, &order.kind).into_iter();
+    let mut relays = relay_candidates(host, unreachable, zone, order).into_iter();
     if unreachable.contains(host.now(), target)
         && let Some(relay) = relays.next()
     {
-        let outcome = relay_order(host, relay, order, address).await;
+        let outcome = relay_order(host, unreachable, relay, order, address).await;
         if outcome != OrderOutcome::NotSent {
             return outcome;
         }
@@ -153,27 +184,29 @@
         && may_send()
         && let Some(relay) = relays.next()
     {
-        return relay_order(host, relay, order, address).await;
+        return relay_order(host, unreachable, relay, order, address).await;
     }
     outcome
 }
 
-/// Returns the entry hosts that may relay an order of the given kind, those that can reach targets first, then those of
-/// the target's zone, each with the latest time on its clock at which it may send the order.
+/// Returns the entry hosts that may relay an order, those first that have not failed to reach its target, then those
+/// that can reach targets, then those of the target's zone, each with the latest time on its clock at
+/// which it may send the order.
 fn relay_candidates(
     host: &ControlHost,
+    unreachable: &UnreachableTargets,
     zone: &ZoneName,
-    kind: &OrderKind,
+    order: &TargetOrder,
 ) -> Vec<(LinkHandle, u64)> {
     let now = host.now();
     let links = host.links.borrow();
-    let mut found: Vec<((bool, bool), LinkHandle, u64)> = links
+    let mut found: Vec<((bool, bool, bool), LinkHandle, u64)> = links
         .iter()
         .filter(|link| link.is_entry())
         // Hosts of earlier builds may take the second copy of another answer for the confirmation of
         // a release.
         .filter(|link| {
-            *kind != OrderKind::Release || link.link.supports(FormatVersion::EVACUATIONS)
+            order.kind != OrderKind::Release || link.link.supports(FormatVersion::EVACUATIONS)
         })
         .filter_map(|link| {
             let (clock, reported_at) =
@@ -182,7 +215,8 @@
             // The window starts when the entry host read its clock, not when the report arrived, so
             // network delay shortens it and never extends it.
             debug_assert!(reported_at <= now);
-            let rank = (!link.takes_relays, is_other_zone);
+            let has_failed = unreachable.has_failed(now, &order.holder.target, link.link.id);
+            let rank = (has_failed, !link.takes_relays, is_other_zone);
             Some((rank, link.link.clone(), clock + RELAY_WINDOW.as_nanos() as u64))
         })
         .collect();
@@ -193,6 +227,7 @@
 /// Sends an order through an entry host and waits for its outcome.
 async fn relay_order(
     host: &ControlHost,
+    unreachable: &UnreachableTargets,
     (link, send_before): (LinkHandle, u64),
     order: &TargetOrder,
     address: SocketAddr,
@@ -211,8 +246,10 @@
     };
     let result = tokio::time::timeout(limit, receiver).await;
     host.pending_calls.borrow_mut().remove(&call);
-    match result {
+    let outcome = match result {
         Ok(Ok(CallResult::Order(outcome))) => outcome,
         _ => OrderOutcome::Unanswered,
-    }
+    };
+    unreachable.record_relayed(host.now(), &order.holder.target, link.id, &outcome);
+    outcome
 }
