fix(gw-gateway): a removed control host is told so by members that do not lead

Callers saw: a control host that answers reads with 503 "no leader known" for good after it was down for some seconds, beside a group that works. Entry hosts that know it as a seed get no current state from it. Cause: only a confirmed leader told a replica that it had been removed. A leader that joined while the replica was down is neither a seed nor known to it, and does not connect to it: the replica is connected to followers only, which ignored its messages. Change: a follower that is current tells it as well, once the replica is no member of the log's group either. Ids are never used again, so a follower whose state lacks the id is right, also if it lags.

--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -16,6 +16,7 @@
 
 use crate::control::control_host::CONTACT_TIMEOUT;
 use crate::control::control_host::ControlHost;
+use crate::control::control_host::Replica;
 use crate::control::control_host::ReplySink;
 use crate::control::replica_identity::ReplicaIdentity;
 use crate::link::CallResult;
@@ -186,6 +187,18 @@
         self.save_identity(identity);
     }
 
+    /// Whether this host may tell the replica `id` that the group has removed it. A replica that lost
+    /// members need not be connected to the leader, so followers tell it as well, but only once it is no
+    /// member of the log's group either: until then its vote may be needed to elect a leader.
+    pub(crate) fn knows_as_removed(&self, id: HostId) -> bool {
+        if !self.log.borrow().state().is_removed(id) {
+            return false;
+        }
+        let is_member = |replica: &Replica| replica.node.membership().contains(id);
+        self.is_confirmed_leader()
+            || self.is_current() && !self.replica.borrow().as_ref().is_some_and(is_member)
+    }
+
     /// Handles the removal of this replica from the group: wipes its data so that it joins again as
     /// a new replica.
     pub(crate) fn handle_removal(&self, id: HostId) {
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -150,8 +150,7 @@
                 });
             }
             LinkMessage::Agreement { from, to, message } => {
-                let is_removed = host.log.borrow().state().is_removed(from);
-                if is_removed && host.is_confirmed_leader() {
+                if host.knows_as_removed(from) {
                     link.send(&LinkMessage::Removed { id: from });
                     return;
                 }
