fix(gw-gateway): frozen control hosts do not count as reached

Callers saw: 503 (state_not_confirmed) from an entry host that had started, for as long as most control hosts were frozen or behind a path that accepts connections and delivers nothing. Cause: a host that reaches most control hosts waits for them to agree. A connection counted as soon as it was open, and the operating system of a frozen process accepts connections: every 1.35 s the silent connection was closed and opened again. Change: only control hosts that have introduced themselves on the open connection count.

--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -161,12 +161,14 @@
         self.group.hosts.iter().map(|(address, _)| *address).chain(named)
     }
 
-    /// Whether this host is connected to most of the control hosts that it knows.
+    /// Whether this host is connected to most of the control hosts that it knows. The operating system
+    /// of a frozen one still accepts connections, so only those that have introduced themselves count.
     fn reaches_majority(&self) -> bool {
         let mut named: Vec<SocketAddr> = self.named_hosts().collect();
         named.sort();
         named.dedup();
-        let is_connected = |peer: &&SocketAddr| self.links.iter().any(|link| link.peer == **peer);
+        let introduced = || self.links.iter().filter(|link| link.zone.is_some());
+        let is_connected = |peer: &&SocketAddr| introduced().any(|link| link.peer == **peer);
         2 * named.iter().filter(is_connected).count() > named.len()
     }
 
