fix(gw-gateway): hosts do not serve an earlier state than a current control host has announced

Cause: after 3 s, a host that is not connected to most control hosts that it knows takes itself for cut off. Hosts of groups of more than five connect to fewer than half of them once one is current, and a state of 1 MB takes 4 s on a link of 2 Mbit/s, so this came true without a cut. Change: a host that hears a control host in contact with a majority is not cut off.

--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -416,7 +416,7 @@
     fn tick(&mut self) {
         let now = self.host.now();
         let is_cut_off = !self.links.iter().any(|link| Self::is_usable(link, now));
-        self.host.reaches_majority.set(self.reaches_majority());
+        self.host.reaches_majority.set(!is_cut_off || self.reaches_majority());
         if is_cut_off || self.is_cut_off {
             self.is_cut_off = is_cut_off;
             // The settings may name other control hosts since: those that were known may all have
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -88,7 +88,8 @@
     /// Whether the state has once been as recent as that of a control host in contact with a
     /// majority.
     pub(crate) has_caught_up: Cell<bool>,
-    /// Whether this host is connected to most of the control hosts that it knows.
+    /// Whether this host is connected to a control host in contact with a majority, or to most of the
+    /// control hosts that it knows.
     pub(crate) reaches_majority: Cell<bool>,
     /// When a control host in contact with a majority was last heard.
     pub(crate) last_contact: Cell<Timestamp>,
