--- a/crates/gw-agreement/src/election.rs
+++ b/crates/gw-agreement/src/election.rs
@@ -99,10 +99,14 @@
             || self.has_fault(InjectedFault::IgnoreLogInVote)
     }
 
-    pub(crate) fn start_pre_vote(&mut self, now: Timestamp) {
-        // A pre-vote changes no term, so it may be repeated soon. The first one is often rejected,
-        // because other voters heard from the leader a few milliseconds later.
+    /// Sets the time of the next pre-vote. It changes no term, so it may be repeated soon. The first
+    /// one is often rejected, because other voters heard from the leader a few milliseconds later.
+    pub(crate) fn postpone_pre_vote(&mut self, now: Timestamp) {
         self.election_deadline = now + self.timeouts.draw() / PRE_VOTES_PER_TIMEOUT;
+    }
+
+    pub(crate) fn start_pre_vote(&mut self, now: Timestamp) {
+        self.postpone_pre_vote(now);
         self.role = ReplicaRole::PreCandidate { granted_by: vec![self.options.id] };
         let message = Message {
             term: self.hard_state.term.next(),
--- a/crates/gw-agreement/src/lib.rs
+++ b/crates/gw-agreement/src/lib.rs
@@ -76,6 +76,7 @@
 mod replica_role;
 mod snapshot;
 mod snapshot_assembly;
+mod sync_queue;
 mod timeout_source;
 
 pub use hard_state::HardState;
@@ -100,3 +101,4 @@
 pub use replica_options::ReplicaOptions;
 pub use snapshot::Snapshot;
 pub use snapshot::SnapshotMeta;
+pub use sync_queue::SyncQueue;
--- a/crates/gw-agreement/src/ready.rs
+++ b/crates/gw-agreement/src/ready.rs
@@ -28,6 +28,11 @@
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
     }
+
+    /// Returns the size of the entries, in bytes.
+    pub fn entry_bytes(&self) -> usize {
+        self.entries.iter().map(LogEntry::size_bytes).sum()
+    }
 }
 
 /// Work that a replica hands over to its caller.
--- a/crates/gw-agreement/src/replica_node.rs
+++ b/crates/gw-agreement/src/replica_node.rs
@@ -35,6 +35,9 @@
 /// sends `messages`, writes and syncs `persist`, calls [`persisted`](Self::persisted), sends
 /// `messages_after_sync`, and applies `install` and `committed`. If a write or sync fails, the
 /// caller must drop the replica and restart it from the state that the journal recovers.
+///
+/// The caller may go on while batches are written, with [`SyncQueue`](crate::SyncQueue): it writes
+/// them in order, and applies `install` and `committed` at once.
 pub struct ReplicaNode {
     pub(crate) options: ReplicaOptions,
     pub(crate) role: ReplicaRole,
@@ -112,7 +115,13 @@
         if self.role.leader_state().is_some() {
             self.tick_leader(now);
         } else if self.may_campaign() && now >= self.election_deadline {
-            self.start_pre_vote(now);
+            // A candidate counts its own vote only once that is synced. While an earlier term or vote
+            // is not, for example because the disk hangs, a further campaign only raises the term.
+            if self.synced_hard_state == self.hard_state {
+                self.start_pre_vote(now);
+            } else {
+                self.postpone_pre_vote(now);
+            }
         }
     }
 
--- a/crates/gw-agreement/tests/harness/cluster.rs
+++ b/crates/gw-agreement/tests/harness/cluster.rs
@@ -186,6 +186,13 @@
         replica.paused_until = replica.paused_until.max(until);
     }
 
+    /// Lets no sync of the host's disk end for some time.
+    pub(crate) fn hang_disk(&mut self, host: HostId, millis: u64) {
+        let until = self.after(millis);
+        let replica = self.replica(host);
+        replica.disk_hangs_until = replica.disk_hangs_until.max(until);
+    }
+
     /// Cuts the links between `minority` and the other hosts in both directions.
     pub(crate) fn partition(&mut self, minority: &[HostId]) {
         for from in self.hosts() {
@@ -307,13 +314,30 @@
     fn synced(&mut self, host: HostId) -> CheckResult {
         let (now, options) = (self.now, self.options.clone());
         let replica = &mut self.replicas[usize::from(host.0) - 1];
+        if replica.disk_hangs_until > now {
+            let (at, run) = (replica.disk_hangs_until, replica.run);
+            self.schedule(at, Event::Synced { host, run });
+            return Ok(());
+        }
         let Some(running) = &mut replica.running else { return Ok(()) };
-        match running.finish_sync(now, &options, &mut self.checks)? {
+        let finished = match options.overlaps_syncs {
+            true => {
+                // The disk writes one batch at a time, or several with one sync.
+                let count = self.rng.between(1, running.writes.len() as u64) as usize;
+                running.finish_writes(now, count)
+            }
+            false => running.finish_sync(now, &options, &mut self.checks)?,
+        };
+        match finished {
             Some(messages) => {
+                if !running.writes.is_empty() {
+                    self.schedule_sync(host);
+                }
                 self.send_all(host, messages);
                 self.process_ready(host)
             }
             None => {
+                self.checks.record_event(CoveredEvent::FailedWrite);
                 // The process exits after a failed write; the host keeps running.
                 replica.running = None;
                 self.restart_after(host, 50);
@@ -331,6 +355,17 @@
         if running.node.is_leader() {
             self.checks.check_leader(running.node.term(), host, run)?;
         }
+        if self.options.overlaps_syncs {
+            let was_idle = running.writes.is_empty();
+            let messages = running.take_overlapping(now, &self.options, &mut self.checks)?;
+            let wake = running.node.next_wakeup();
+            if was_idle && !running.writes.is_empty() {
+                self.schedule_sync(host);
+            }
+            self.send_all(host, messages);
+            self.schedule_wake(host, wake);
+            return Ok(());
+        }
         let mut ready = running.node.take_ready(now);
         let wake = running.node.next_wakeup();
         running.check_writes(&ready.persist, &mut self.checks)?;
@@ -340,8 +375,7 @@
         running.syncing = has_output.then_some(ready);
         self.send_all(host, messages);
         if needs_sync {
-            let at = self.now + Duration::from_micros(self.rng.between(200, 4000));
-            self.schedule(at, Event::Synced { host, run });
+            self.schedule_sync(host);
         } else if has_output {
             return self.synced(host);
         }
@@ -349,6 +383,12 @@
         Ok(())
     }
 
+    fn schedule_sync(&mut self, host: HostId) {
+        let run = self.replica(host).run;
+        let at = self.now + Duration::from_micros(self.rng.between(200, 4000));
+        self.schedule(at, Event::Synced { host, run });
+    }
+
     /// Schedules a wake-up unless an earlier one is scheduled for the replica.
     fn schedule_wake(&mut self, host: HostId, wake: Timestamp) {
         let at = wake.max(self.after(1));
--- a/crates/gw-agreement/tests/harness/replica.rs
+++ b/crates/gw-agreement/tests/harness/replica.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 
 use gw_agreement::EntryPayload;
@@ -7,11 +8,13 @@
 use gw_agreement::LogIndex;
 use gw_agreement::Membership;
 use gw_agreement::PersistBatch;
+use gw_agreement::PersistToken;
 use gw_agreement::Ready;
 use gw_agreement::RecoveredState;
 use gw_agreement::ReplicaNode;
 use gw_agreement::ReplicaOptions;
 use gw_agreement::Snapshot;
+use gw_agreement::SyncQueue;
 use gw_agreement::Term;
 use gw_journal::CrashMode;
 use gw_journal::HardState;
@@ -47,6 +50,8 @@
     pub(crate) snapshot_every: u64,
     pub(crate) snapshot_bytes: usize,
     pub(crate) snapshot_chunk_bytes: usize,
+    /// Whether replicas go on while their disk writes, with several batches waiting for it.
+    pub(crate) overlaps_syncs: bool,
 }
 
 /// One host with its disk, which survives crashes, and its replica process.
@@ -58,6 +63,8 @@
     pub(crate) run: u32,
     /// Time until which events for this host are deferred because it is paused.
     pub(crate) paused_until: Timestamp,
+    /// Time until which no sync of this host's disk ends.
+    pub(crate) disk_hangs_until: Timestamp,
     /// Time of the scheduled wake-up.
     pub(crate) wake_at: Timestamp,
     initial: Membership,
@@ -70,6 +77,9 @@
     journal: Journal,
     /// Output whose sync is in progress.
     pub(crate) syncing: Option<Ready>,
+    /// Batches that wait for the disk while the replica goes on, oldest first.
+    pub(crate) writes: VecDeque<(PersistToken, PersistBatch)>,
+    pub(crate) unsynced: SyncQueue,
     /// Index and term of the entries in the journal, as recovered or written in this run.
     last_written: Vec<(LogIndex, Term)>,
     pub(crate) applied: LogIndex,
@@ -80,8 +90,17 @@
 impl Replica {
     pub(crate) fn new(id: HostId, initial: Membership, cluster_options: ClusterOptions) -> Self {
         let disk = MemoryStorage::new();
-        let (paused_until, wake_at) = (Timestamp::ZERO, Timestamp::MAX);
-        Self { id, disk, running: None, run: 0, paused_until, wake_at, initial, cluster_options }
+        Self {
+            id,
+            disk,
+            running: None,
+            run: 0,
+            paused_until: Timestamp::ZERO,
+            disk_hangs_until: Timestamp::ZERO,
+            wake_at: Timestamp::MAX,
+            initial,
+            cluster_options,
+        }
     }
 
     /// Starts the process. Returns `false` if the disk fails.
@@ -115,6 +134,8 @@
             node: ReplicaNode::new(options, recovered, now),
             journal,
             syncing: None,
+            writes: VecDeque::new(),
+            unsynced: SyncQueue::default(),
             last_written,
             applied: LogIndex::ZERO,
             hash_chain: 0,
@@ -125,12 +146,14 @@
 
     /// Stops the process. A write in progress may be completed, partly or not at all.
     pub(crate) fn crash(&mut self, rng: &mut Rng) {
-        if let Some(mut running) = self.running.take()
-            && let Some(ready) = running.syncing.take()
-            && rng.percent(60)
-        {
-            self.disk.fail_call(rng.below(8), ErrorKind::Other);
-            let _ = write(&mut running.journal, &ready.persist);
+        if let Some(mut running) = self.running.take() {
+            let batches = running.syncing.take().map(|ready| ready.persist).into_iter();
+            let batches: Vec<_> =
+                batches.chain(running.writes.drain(..).map(|(_, batch)| batch)).collect();
+            if !batches.is_empty() && rng.percent(60) {
+                self.disk.fail_call(rng.below(8 * batches.len() as u64), ErrorKind::Other);
+                let _ = batches.iter().try_for_each(|batch| write(&mut running.journal, batch));
+            }
         }
         self.disk.crash(match rng.below(3) {
             0 => CrashMode::LoseUnsynced,
@@ -179,7 +202,6 @@
     ) -> Result<Option<Vec<Envelope>>, Violation> {
         let Some(ready) = self.syncing.take() else { return Ok(Some(Vec::new())) };
         if write(&mut self.journal, &ready.persist).is_err() {
-            checks.record_event(CoveredEvent::FailedWrite);
             return Ok(None);
         }
         if !ready.persist.is_empty() {
@@ -189,6 +211,41 @@
         Ok(Some(ready.messages_after_sync))
     }
 
+    /// Takes the replica's output in order, and returns the messages that may be sent.
+    pub(crate) fn take_overlapping(
+        &mut self,
+        now: Timestamp,
+        cluster_options: &ClusterOptions,
+        checks: &mut InvariantChecks,
+    ) -> Result<Vec<Envelope>, Violation> {
+        let mut messages = Vec::new();
+        loop {
+            let mut ready = self.node.take_ready(now);
+            if ready.is_empty() {
+                return Ok(messages);
+            }
+            self.check_writes(&ready.persist, checks)?;
+            messages.append(&mut ready.messages);
+            messages.extend(self.unsynced.push(now, &mut ready));
+            if !ready.persist.is_empty() {
+                self.writes.push_back((ready.token, ready.persist));
+            }
+            self.apply(ready.install, ready.committed, cluster_options, checks)?;
+        }
+    }
+
+    /// Writes the first `count` waiting batches. Returns the messages that waited for them, or `None`
+    /// if the disk failed.
+    pub(crate) fn finish_writes(&mut self, now: Timestamp, count: usize) -> Option<Vec<Envelope>> {
+        let mut messages = Vec::new();
+        for (token, batch) in self.writes.drain(..count) {
+            write(&mut self.journal, &batch).ok()?;
+            self.node.persisted(now, token);
+            messages.extend(self.unsynced.complete(token));
+        }
+        Some(messages)
+    }
+
     fn apply(
         &mut self,
         install: Option<Snapshot>,
--- a/crates/gw-agreement/tests/harness/schedule.rs
+++ b/crates/gw-agreement/tests/harness/schedule.rs
@@ -24,6 +24,8 @@
     pub(crate) voters: u16,
     pub(crate) spares: u16,
     pub(crate) fault: Option<InjectedFault>,
+    /// Whether replicas go on while their disks write. Disks then hang for up to seconds.
+    pub(crate) overlaps_syncs: bool,
 }
 
 /// Injects faults drawn from `seed`, then heals them and checks that the group recovers.
@@ -40,6 +42,7 @@
         snapshot_every: rng.between(3, 20),
         snapshot_chunk_bytes: 24,
         snapshot_bytes: rng.between(8, 120) as usize,
+        overlaps_syncs: group.overlaps_syncs,
     };
     let mut cluster = Cluster::new(rng.next(), group.voters, group.spares, options)?;
     cluster.run(rng.between(0, 1000))?;
@@ -103,6 +106,7 @@
         12 if rng.percent(40) => cluster.with_replica(affected, |running, now| {
             let _ = running.node.transfer_leadership(now);
         })?,
+        12 | 15 if group.overlaps_syncs => cluster.hang_disk(affected, rng.between(10, 3000)),
         13 | 14 => cluster.drop_entries_above = Some(cluster.highest_term()),
         _ => cluster.run(rng.between(200, 1200))?,
     }
@@ -129,9 +133,10 @@
         waited += 100;
     }
     let members = current_members(cluster);
-    let last = cluster.checks.acknowledged.keys().last().copied().unwrap_or_default();
     let members_of = members.clone();
     cluster.run_until(RECOVERY_MILLIS, move |cluster| {
+        // Proposals that were made before may be acknowledged only now, after a disk has hung.
+        let last = cluster.checks.acknowledged.keys().last().copied().unwrap_or_default();
         members_of.iter().all(|&host| cluster.applied(host) >= last)
     })?;
     members
--- a/crates/gw-agreement/tests/scenarios.rs
+++ b/crates/gw-agreement/tests/scenarios.rs
@@ -32,6 +32,7 @@
         snapshot_every: u64::MAX,
         snapshot_bytes: 0,
         snapshot_chunk_bytes: 24,
+        overlaps_syncs: false,
     }
 }
 
@@ -289,3 +290,47 @@
     assert!(commit_one(&mut cluster, 1000)?, "accepts again once committed");
     Ok(())
 }
+
+/// Guards against a leader that loses its quorum while its disk hangs, and against one that cannot
+/// hand over then.
+#[test]
+fn leader_whose_disk_hangs_keeps_its_quorum_and_can_hand_over() -> TestResult {
+    for seed in SEEDS {
+        let options = ClusterOptions { overlaps_syncs: true, ..options() };
+        let (mut cluster, leader) = start_cluster(seed, 3, 0, options)?;
+        cluster.hang_disk(leader, 5000);
+        cluster.propose(leader)?;
+        cluster.run(2000)?;
+        let (has_quorum, committed, applied) = call_replica(&mut cluster, leader, |node, now| {
+            (node.has_quorum(now), node.commit_index(), node.last_applied())
+        });
+        assert!(has_quorum && committed > applied, "seed {seed}: {committed} {applied}");
+        let to = call_replica(&mut cluster, leader, |node, now| node.transfer_leadership(now));
+        cluster.run(100)?;
+        assert_eq!(cluster.leader(), to.ok(), "seed {seed}");
+        assert!(commit_one(&mut cluster, TAKEOVER_MILLIS)?, "seed {seed}");
+        cluster.run(5000)?;
+        let hosts = cluster.hosts();
+        let is_behind = |host: &HostId| cluster.applied(*host) <= committed;
+        assert_eq!(hosts.into_iter().find(is_behind), None, "seed {seed}");
+    }
+    Ok(())
+}
+
+/// Guards against candidates that raise their term again and again while their disk hangs.
+#[test]
+fn candidate_whose_disk_hangs_raises_its_term_once() -> TestResult {
+    for seed in SEEDS {
+        let options = ClusterOptions { overlaps_syncs: true, ..options() };
+        let (mut cluster, leader) = start_cluster(seed, 3, 0, options)?;
+        let before = cluster.highest_term();
+        for host in cluster.hosts() {
+            cluster.hang_disk(host, 5000);
+        }
+        cluster.partition(&[leader]);
+        cluster.run(4000)?;
+        assert!(cluster.highest_term() <= before.next(), "seed {seed}");
+        assert!(commit_one(&mut cluster, 1000 + TAKEOVER_MILLIS)?, "seed {seed}");
+    }
+    Ok(())
+}
--- a/crates/gw-agreement/tests/schedules.rs
+++ b/crates/gw-agreement/tests/schedules.rs
@@ -75,23 +75,32 @@
 /// in the smallest group.
 #[test]
 fn three_replicas_keep_the_invariants() {
-    check_group(Group { voters: 3, spares: 0, fault: None });
+    check_group(Group { voters: 3, spares: 0, fault: None, overlaps_syncs: false });
 }
 
 /// Guards against violations of the invariants that require two replicas to fail at the same time.
 #[test]
 fn five_replicas_keep_the_invariants() {
-    check_group(Group { voters: 5, spares: 0, fault: None });
+    check_group(Group { voters: 5, spares: 0, fault: None, overlaps_syncs: false });
 }
 
 /// Guards against majorities that do not intersect while members are added and removed.
 #[test]
 fn changing_members_keep_the_invariants() {
-    let coverage = check_group(Group { voters: 3, spares: 2, fault: None });
+    let coverage = check_group(Group { voters: 3, spares: 2, fault: None, overlaps_syncs: false });
     let schedules = setting("GW_SCHEDULES", DEFAULT_SCHEDULES);
     assert_covered(&coverage, CoveredEvent::MembershipApplied, schedules);
 }
 
+/// Guards against votes, acknowledgements and applied entries that rely on batches that wait for a
+/// disk, in replicas that go on meanwhile.
+#[test]
+fn replicas_that_go_on_while_disks_hang_keep_the_invariants() {
+    for (voters, spares) in [(3, 0), (5, 0), (3, 2)] {
+        check_group(Group { voters, spares, fault: None, overlaps_syncs: true });
+    }
+}
+
 /// Guards against invariant checks that do not detect a faulty replica.
 #[test]
 fn injected_faults_are_detected() {
@@ -102,8 +111,8 @@
         InjectedFault::IgnoreLogInVote,
         InjectedFault::IgnoreLiveLeader,
     ];
-    for fault in faults {
-        let group = Group { voters: 3, spares: 0, fault: Some(fault) };
+    for (fault, overlaps_syncs) in faults.into_iter().flat_map(|f| [(f, false), (f, true)]) {
+        let group = Group { voters: 3, spares: 0, fault: Some(fault), overlaps_syncs };
         let found = (0..MAX_FAULT_SCHEDULES).find_map(|seed| match run_schedule(group, seed) {
             Err(Violation::Safety(message)) => Some((seed, message)),
             _ => None,
--- a/crates/gw-agreement/tests/slow_links.rs
+++ b/crates/gw-agreement/tests/slow_links.rs
@@ -103,6 +103,7 @@
         snapshot_every: case.snapshot_every,
         snapshot_bytes: case.snapshot_bytes,
         snapshot_chunk_bytes: 8_000,
+        overlaps_syncs: false,
     }
 }
 
