--- a/crates/gw-daemon/src/control/journal_writer.rs
+++ b/crates/gw-daemon/src/control/journal_writer.rs
@@ -14,6 +14,7 @@
 use gw_journal::Record;
 use gw_journal::Recovered;
 use gw_journal::SnapshotRecord;
+use gw_journal::Storage;
 use gw_types::HostId;
 
 use crate::control::RecoveredLog;
@@ -46,8 +47,12 @@
 impl JournalWriter {
     /// Opens the data folder and returns the state that the replica had synced.
     pub fn open(folder: &Path) -> Result<(Self, RecoveredState), JournalError> {
-        let storage = FileStorage::new(folder)?;
-        let (journal, recovered) = Journal::open(Box::new(storage), JournalOptions::default())?;
+        Self::open_storage(Box::new(FileStorage::new(folder)?))
+    }
+
+    /// Like [`JournalWriter::open`], on any storage.
+    pub fn open_storage(storage: Box<dyn Storage>) -> Result<(Self, RecoveredState), JournalError> {
+        let (journal, recovered) = Journal::open(storage, JournalOptions::default())?;
         log_discarded(recovered.discarded_tail_bytes);
         Ok((Self { journal }, decode(recovered)?))
     }
@@ -80,6 +85,13 @@
 
     /// Writes and syncs one batch. After an error the writer must not be used again.
     pub fn write(&mut self, batch: &PersistBatch) -> Result<(), JournalError> {
+        self.append(batch)?;
+        self.sync()
+    }
+
+    /// Writes one batch, which is durable after [`JournalWriter::sync`]. A snapshot is synced at once,
+    /// with all that precedes it. After an error the writer must not be used again.
+    pub fn append(&mut self, batch: &PersistBatch) -> Result<(), JournalError> {
         if let Some(from) = batch.truncate_from {
             self.journal.truncate_from(from.0)?;
         }
@@ -93,10 +105,14 @@
             let vote = state.vote.map(|host| host.0);
             self.journal.save_hard_state(gw_journal::HardState { term: state.term.0, vote })?;
         }
-        self.journal.sync()?;
         Ok(())
     }
 
+    /// Makes all batches that were appended durable. After an error the writer must not be used again.
+    pub fn sync(&mut self) -> Result<(), JournalError> {
+        Ok(self.journal.sync()?)
+    }
+
     fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), JournalError> {
         let index = snapshot.meta.index.0;
         self.journal.save_snapshot(&SnapshotRecord { index, payload: snapshot.encode() })?;
--- a/crates/gw-daemon/src/control/mod.rs
+++ b/crates/gw-daemon/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod control_handle;
 mod control_thread;
+mod journal_thread;
 mod journal_writer;
 mod log_recovery;
 mod peer_transport;
@@ -14,6 +15,8 @@
 pub use control_thread::ControlOptions;
 pub use control_thread::ControlStartError;
 pub use control_thread::start_control;
+pub use journal_thread::JournalReport;
+pub use journal_thread::JournalThread;
 pub use journal_writer::JournalError;
 pub use journal_writer::JournalWriter;
 pub use log_recovery::MAX_UNCOMMITTED_BYTES;
