fix(gw-gateway): a control host goes on while its disk syncs

What callers saw: a control host answered nothing, sent no heartbeat and no head, and its connections were closed as silent, for as long as a sync took; a PUT /config hung for 20 s. Change: JournalThread writes it. Messages that rely on a batch wait for its report (SyncQueue).

A leader whose disk has hung for 0.5 s while the others commit hands the leadership over, and refuses proposals while too many bytes wait for its disk. Reads wait for the leader's commit index, since other replicas may apply entries before the leader's own disk has them.

--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -6,11 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gw_agreement::Membership;
 use gw_agreement::ReplicaNode;
-use gw_agreement::ReplicaOptions;
+use gw_agreement::SyncQueue;
 use gw_daemon::BootClock;
-use gw_daemon::control::JournalWriter;
+use gw_daemon::control::JournalReport;
+use gw_daemon::control::JournalThread;
 use gw_dispatch::CrashQuarantine;
 use gw_dispatch::QuarantineOptions;
 use gw_fleet::FleetCommand;
@@ -24,15 +24,15 @@
 use gw_types::TargetName;
 use gw_types::Timestamp;
 use tokio::sync::Semaphore;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
 use crate::GatewaySettings;
 use crate::control::cold_targets::ColdDuty;
 use crate::control::fleet_log::FleetLog;
 use crate::control::granter_set::GranterSet;
+use crate::control::journal_slot::JournalSlot;
 use crate::control::peer_links::PeerLink;
-use crate::control::recovered_fleet::RecoveredFleet;
-use crate::control::replica_identity::JOURNAL_FOLDER;
 use crate::control::replica_identity::ReplicaIdentity;
 use crate::control::target_monitor::TargetMonitor;
 use crate::gateway_metrics::GatewayMetrics;
@@ -99,7 +99,9 @@
 /// A running replica of the control group.
 pub(crate) struct Replica {
     pub(crate) node: ReplicaNode,
-    pub(crate) journal: JournalWriter,
+    pub(crate) journal: JournalThread,
+    /// Messages that wait for the journal.
+    pub(crate) unsynced: SyncQueue,
     pub(crate) last_snapshot: u64,
     /// Index of the first entry of its own term that this replica applied as leader; `None` until
     /// then. From that index on, everything that earlier leaders acknowledged has been applied.
@@ -124,6 +126,11 @@
     pub(crate) connections: TargetConnections,
     pub(crate) identity: RefCell<Option<ReplicaIdentity>>,
     pub(crate) replica: RefCell<Option<Replica>>,
+    pub(crate) journal: RefCell<JournalSlot>,
+    /// Journal of the replica that is to be started once it is open.
+    pub(crate) opening: RefCell<Option<JournalThread>>,
+    /// Whether this replica was removed and its data is to be removed once the journal is closed.
+    pub(crate) is_removed: Cell<bool>,
     pub(crate) log: RefCell<FleetLog>,
     pub(crate) links: RefCell<Vec<PeerLink>>,
     pub(crate) monitor: RefCell<TargetMonitor>,
@@ -164,6 +171,7 @@
         adapter: Rc<dyn ProtocolAdapter>,
         dialer: Rc<dyn TargetDialer>,
         control_address: SocketAddr,
+        journal_reports: UnboundedSender<JournalReport>,
     ) -> Rc<Self> {
         let clock = BootClock;
         let bounds = MemoryBounds::of(settings.memory_bytes);
@@ -180,6 +188,9 @@
             connections: TargetConnections::new(dialer),
             identity: RefCell::default(),
             replica: RefCell::default(),
+            journal: RefCell::new(JournalSlot::new(journal_reports)),
+            opening: RefCell::default(),
+            is_removed: Cell::new(false),
             log: RefCell::new(FleetLog::new(bounds.recent_commands)),
             links: RefCell::default(),
             monitor: RefCell::default(),
@@ -237,37 +248,6 @@
         node.is_caught_up() && now.since(node.last_leader_contact()) < CONTACT_TIMEOUT
     }
 
-    /// Starts the replica from the journal in its data directory.
-    pub(crate) fn start_replica(&self, identity: &ReplicaIdentity) -> Result<(), String> {
-        let Some(id) = identity.id else { return Err("no replica id assigned yet".to_owned()) };
-        let data = self.settings.borrow().data_dir.clone().ok_or("no data directory configured")?;
-        let members = Membership::of_voters(identity.first_members.iter().copied());
-        let mut state = RecoveredFleet::default();
-        let opened = JournalWriter::open_bounded(
-            &data.join(JOURNAL_FOLDER),
-            self.bounds.recovery,
-            members.clone(),
-            &mut state,
-        );
-        let (journal, recovered) = opened.map_err(|error| error.to_string())?;
-        drop(state);
-        let options = ReplicaOptions {
-            max_command_bytes: self.bounds.command,
-            max_batch_bytes: self.bounds.batch,
-            max_in_flight_bytes: self.bounds.in_flight,
-            max_uncommitted_bytes: self.bounds.uncommitted,
-            snapshot_chunk_bytes: self.bounds.snapshot_chunk,
-            retained_bytes: self.bounds.retained,
-            ..ReplicaOptions::new(id, members, rand::random())
-        };
-        let node = ReplicaNode::new(options, recovered, self.now());
-        *self.log.borrow_mut() = FleetLog::new(self.bounds.recent_commands);
-        let replica = Replica { node, journal, last_snapshot: 0, leads_since: None };
-        *self.replica.borrow_mut() = Some(replica);
-        log::info!("event=replica_started id={}", id.0);
-        Ok(())
-    }
-
     pub(crate) fn stop_replica(&self, cause: &str) {
         /// Delay before a replica whose disk failed is restarted.
         const RESTART_DELAY: Duration = Duration::from_secs(1);
--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -138,14 +138,25 @@
     }
 
     /// Handles the removal of this replica from the group: wipes its data so that it joins again as
-    /// a new replica.
+    /// a new replica. Waits until the journal is closed.
     pub(crate) fn handle_removal(&self, id: HostId) {
         let own = self.identity.borrow().as_ref().and_then(|identity| identity.id);
-        if own != Some(id) {
+        if own != Some(id) || self.is_removed.get() {
             return;
         }
         log::warn!("event=replica_was_removed id={}", id.0);
         *self.replica.borrow_mut() = None;
+        *self.opening.borrow_mut() = None;
+        self.is_removed.set(true);
+        self.finish_removal();
+    }
+
+    /// Wipes the data of a replica that was removed, unless the journal is still in use.
+    pub(crate) fn finish_removal(&self) {
+        if !self.is_removed.get() || self.journal.borrow().is_open() {
+            return;
+        }
+        self.is_removed.set(false);
         let data = self.settings.borrow().data_dir.clone();
         if let Some(Err(error)) = data.map(|data| ReplicaIdentity::wipe(&data)) {
             log::error!("event=data_not_removed cause=\"{error}\"");
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -1,4 +1,5 @@
 use std::cmp::Ordering;
+use std::time::Duration;
 
 use gw_agreement::EntryPayload;
 use gw_agreement::Envelope;
@@ -44,28 +45,24 @@
         self.drive();
     }
 
-    /// Performs the replica's pending I/O until it has none left: sends messages, persists entries,
-    /// installs snapshots and applies committed entries. Messages that depend on persisted entries
-    /// are sent after the sync.
+    /// Performs the replica's pending I/O until it has none left: sends messages, hands entries over
+    /// to the journal's thread, installs snapshots and applies committed entries. Messages that
+    /// depend on persisted entries are sent after the sync.
     pub(crate) fn drive(&self) {
         loop {
             let now = self.now();
             let mut slot = self.replica.borrow_mut();
             let Some(replica) = slot.as_mut() else { return };
-            let ready = replica.node.take_ready(now);
+            let mut ready = replica.node.take_ready(now);
             if ready.is_empty() {
                 break;
             }
-            self.send_all(&mut replica.node, ready.messages);
+            let mut messages = std::mem::take(&mut ready.messages);
+            messages.extend(replica.unsynced.push(now, &mut ready));
+            self.send_all(&mut replica.node, messages);
             if !ready.persist.is_empty() {
-                if let Err(error) = replica.journal.write(&ready.persist) {
-                    drop(slot);
-                    self.stop_replica(&error.to_string());
-                    return;
-                }
-                replica.node.persisted(self.now(), ready.token);
+                replica.journal.write(ready.token, ready.persist);
             }
-            self.send_all(&mut replica.node, ready.messages_after_sync);
             if let Some(snapshot) = ready.install {
                 match FleetState::restore(&snapshot.data) {
                     Ok(state) => {
@@ -89,7 +86,7 @@
         self.push_updates();
     }
 
-    fn send_all(&self, node: &mut ReplicaNode, messages: Vec<Envelope>) {
+    pub(crate) fn send_all(&self, node: &mut ReplicaNode, messages: Vec<Envelope>) {
         let from = node.id();
         for Envelope { to, message } in messages {
             let message = LinkMessage::Agreement { from, to, message };
@@ -187,6 +184,31 @@
         }
     }
 
+    /// Hands the leadership over if the others commit entries that this leader cannot apply since its
+    /// disk hangs. While their disks hang as well, it stays.
+    pub(crate) fn relieve_leader(&self) {
+        /// Shortest election timeout: the others would replace a leader that is silent for as long.
+        const SLOW_SYNC: Duration = Duration::from_millis(500);
+        let now = self.now();
+        let transferred = {
+            let mut slot = self.replica.borrow_mut();
+            let Some(replica) = slot.as_mut().filter(|replica| replica.node.is_leader()) else {
+                return;
+            };
+            let since = replica.unsynced.unsynced_since();
+            let is_slow = since.is_some_and(|since| now.since(since) >= SLOW_SYNC);
+            if !is_slow || replica.node.commit_index() <= replica.node.last_applied() {
+                return;
+            }
+            replica.node.transfer_leadership(now)
+        };
+        // An error says that a transfer is under way or that the leadership is being lost.
+        if let Ok(to) = transferred {
+            log::warn!("event=leader_relieved to={} cause=slow_sync", to.0);
+            self.drive();
+        }
+    }
+
     /// Resets the state of the leader's tasks when this host has gained or lost the leadership.
     fn update_leadership(&self) {
         let (is_leader, term) = {
@@ -251,6 +273,9 @@
             let mut slot = self.replica.borrow_mut();
             let replica = slot.as_mut().filter(|replica| replica.node.is_leader());
             replica.map(|replica| {
+                if replica.unsynced.unsynced_bytes() > self.bounds.uncommitted {
+                    return Err("too many bytes wait for the disk".to_owned());
+                }
                 let bytes = postcard::to_stdvec(command).map_err(|error| error.to_string())?;
                 let index = replica.node.propose(now, bytes).map_err(|error| error.to_string())?;
                 Ok::<_, String>((index.0, replica.node.term().0))
@@ -280,7 +305,9 @@
         self.pending_reads.borrow_mut().push(PendingRead { requested_at, reply_to });
     }
 
-    /// Completes the reads that were requested before leadership was last confirmed.
+    /// Completes the reads that were requested before leadership was last confirmed. What other
+    /// replicas may have applied is at most what is committed, which this replica applies only once
+    /// its own disk has it.
     fn complete_reads(&self) {
         if self.pending_reads.borrow().is_empty() {
             return;
@@ -289,10 +316,12 @@
         let confirmed = {
             let replica = self.replica.borrow();
             let leading = replica.as_ref().filter(|replica| replica.leads_since.is_some());
-            leading.and_then(|replica| replica.node.leadership_confirmed_at(now))
+            leading.and_then(|replica| {
+                let confirmed = replica.node.leadership_confirmed_at(now)?;
+                Some((confirmed, replica.node.commit_index().0))
+            })
         };
-        let Some(confirmed) = confirmed else { return };
-        let index = self.log.borrow().applied();
+        let Some((confirmed, index)) = confirmed else { return };
         let mut reads = self.pending_reads.borrow_mut();
         let completed: Vec<_> =
             reads.extract_if(.., |read| read.requested_at <= confirmed).collect();
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -54,7 +54,8 @@
     let peers = SocketAddr::new(settings.address, settings.peer_port);
     let peers = bind("peers", peers).await?;
     let metrics = SocketAddr::new(settings.address, settings.peer_port + 1);
-    let host = ControlHost::new(settings, adapter, dialer, control_address);
+    let (reports, mut journal) = mpsc::unbounded_channel();
+    let host = ControlHost::new(settings, adapter, dialer, control_address, reports);
     host.load_identity().map_err(|error| RunError::Data(error.to_string()))?;
     let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
     spawn_local(accept_links(peers, events.clone(), host.bounds));
@@ -82,6 +83,7 @@
     loop {
         tokio::select! {
             event = queue.recv() => if let Some(event) = event { links.handle_event(event) },
+            report = journal.recv() => if let Some(report) = report { host.handle_journal(report) },
             _ = ticks.tick() => {
                 tick(&host, &mut links, &unreachable, round);
                 round = (round + 1) % TICKS_PER_ROUND;
@@ -122,6 +124,7 @@
 ) {
     start_replica(host, round);
     host.tick_replica();
+    host.relieve_leader();
     let leads = host.is_confirmed_leader() && !host.is_stopping.get();
     if leads {
         host.reconcile_members();
@@ -177,7 +180,7 @@
         return;
     }
     if round == 0
-        && let Err(cause) = host.start_replica(&identity)
+        && let Err(cause) = host.open_journal(&identity)
     {
         log::error!("event=replica_not_started cause=\"{cause}\"");
     }
