fix(gw-agreement): heartbeats are answered while a batch waits for the disk

What callers saw: a leader whose followers' disks hang for more than 0.5 s loses its majority, although all hosts are reached: calls get 503 and grants stop until a leader is elected after the syncs. Cause: a follower's response to a heartbeat waited for all batches that were handed over before it. Change: a response that acknowledges only synced entries is sent at once if the term and the vote are synced; a heartbeat that refers to later entries is answered at once for those that are synced, and again after the sync. A replica whose oldest batch has waited for 5 s answers as before, so that it counts as lost.

--- a/crates/gw-agreement/src/follower_replication.rs
+++ b/crates/gw-agreement/src/follower_replication.rs
@@ -34,10 +34,13 @@
                 sent_at,
             } => {
                 self.leader_commit_index = self.leader_commit_index.max(Some(commit_index));
+                let is_heartbeat = entries.is_empty();
                 let response =
                     self.handle_append((previous_term, previous_index), entries, commit_index);
                 let response = response.map(|response| response.into_body(sent_at));
-                response.into_iter().for_each(|body| self.send_after_sync(from, body));
+                if let Some(body) = response {
+                    self.respond_to_append(now, from, is_heartbeat, body);
+                }
             }
             MessageBody::SnapshotChunk { meta, offset, total_bytes, bytes, sent_at } => {
                 let response = self.handle_snapshot_chunk(meta, offset, total_bytes, &bytes);
@@ -48,6 +51,31 @@
         }
     }
 
+    /// Responds to a batch or a heartbeat, at once if all that it acknowledges is synced. A heartbeat
+    /// that refers to entries that wait for the disk is answered at once with those that do not, and
+    /// again after the sync.
+    fn respond_to_append(
+        &mut self,
+        now: Timestamp,
+        to: HostId,
+        is_heartbeat: bool,
+        body: MessageBody,
+    ) {
+        let MessageBody::Matched { match_index, sent_at } = body else {
+            self.send_after_sync(to, body);
+            return;
+        };
+        let synced = match_index.min(self.last_synced);
+        let is_complete = synced == match_index;
+        if (is_heartbeat || is_complete) && self.is_synced(now, synced) {
+            self.send(to, MessageBody::Matched { match_index: synced, sent_at });
+            if is_complete {
+                return;
+            }
+        }
+        self.send_after_sync(to, body);
+    }
+
     /// Appends `entries` if the entry before them matches the leader's. Returns `None` for a batch
     /// that no correct leader sends: its indexes have gaps, or it conflicts with a committed entry.
     fn handle_append(
@@ -129,8 +157,11 @@
         let Some(assembly) = self.assembly.take() else { return };
         let snapshot = assembly.into_snapshot();
         let index = snapshot.meta.index;
+        // Entries beyond the commit index may differ from those that the snapshot covers.
+        let is_prefix = self.log.term_at(index) == Some(snapshot.meta.term);
+        let last_synced = if is_prefix { self.log.last_index() } else { self.commit_index };
         self.log.install(snapshot);
-        self.limit_last_synced(self.log.last_index());
+        self.limit_last_synced(last_synced);
         self.commit_index = index;
         self.last_applied = index;
         self.install_pending = true;
--- a/crates/gw-agreement/src/replica_node.rs
+++ b/crates/gw-agreement/src/replica_node.rs
@@ -76,6 +76,7 @@
     /// Last entry of the log. Lowered if the log is truncated after the batch was returned.
     last_index: LogIndex,
     hard_state: HardState,
+    returned_at: Timestamp,
 }
 
 impl ReplicaNode {
@@ -234,7 +235,7 @@
             persist.hard_state = Some(self.hard_state);
         }
         if !persist.is_empty() {
-            self.record_unsynced_batch();
+            self.record_unsynced_batch(now);
         }
         let mut ready = Ready {
             token: PersistToken(self.last_token),
@@ -250,12 +251,13 @@
         ready
     }
 
-    fn record_unsynced_batch(&mut self) {
+    fn record_unsynced_batch(&mut self, now: Timestamp) {
         self.last_token += 1;
         let token = PersistToken(self.last_token);
         let last_index = self.log.last_index();
         let hard_state = self.hard_state;
-        self.unsynced_batches.push_back(UnsyncedBatch { token, last_index, hard_state });
+        let batch = UnsyncedBatch { token, last_index, hard_state, returned_at: now };
+        self.unsynced_batches.push_back(batch);
     }
 
     fn take_install(&mut self) -> Option<Snapshot> {
@@ -294,6 +296,15 @@
         }
     }
 
+    /// Returns whether the term and the entries up to `index` are synced. False while the disk hangs
+    /// for too long.
+    pub(crate) fn is_synced(&self, now: Timestamp, index: LogIndex) -> bool {
+        let oldest = self.unsynced_batches.front();
+        let is_hanging =
+            oldest.is_some_and(|batch| now.since(batch.returned_at) >= self.options.max_sync_time);
+        !is_hanging && self.synced_hard_state == self.hard_state && index <= self.last_synced
+    }
+
     pub(crate) fn has_fault(&self, fault: InjectedFault) -> bool {
         self.options.injected_fault == Some(fault)
     }
--- a/crates/gw-agreement/src/replica_options.rs
+++ b/crates/gw-agreement/src/replica_options.rs
@@ -19,6 +19,9 @@
     pub election_timeout_min: Duration,
     /// Longest election timeout.
     pub election_timeout_max: Duration,
+    /// Time for which a replica whose oldest batch is not synced goes on to acknowledge what it has
+    /// synced before, heartbeats included. Beyond it, the replica counts as lost for the leader.
+    pub max_sync_time: Duration,
     /// Maximum size of a command, in bytes.
     pub max_command_bytes: usize,
     /// Maximum size of the entries in a message or in `Ready::committed`, in bytes. A larger entry
@@ -73,6 +76,7 @@
             heartbeat_interval: Duration::from_millis(100),
             election_timeout_min: Duration::from_millis(500),
             election_timeout_max: Duration::from_millis(700),
+            max_sync_time: Duration::from_secs(5),
             max_command_bytes: 256 * 1024,
             max_batch_bytes: 256 * 1024,
             max_in_flight_bytes: 1024 * 1024,
--- a/crates/gw-agreement/tests/scenarios.rs
+++ b/crates/gw-agreement/tests/scenarios.rs
@@ -334,3 +334,28 @@
     }
     Ok(())
 }
+
+/// Guards against a leader that loses its quorum because all disks hang for a short time, and against
+/// one that claims a quorum of replicas whose disks have hung for longer than is permitted.
+#[test]
+fn group_whose_disks_hang_keeps_its_leader_for_a_limited_time() -> TestResult {
+    for seed in SEEDS {
+        let options = ClusterOptions { overlaps_syncs: true, ..options() };
+        let (mut cluster, leader) = start_cluster(seed, 3, 0, options)?;
+        let term = cluster.highest_term();
+        for host in cluster.hosts() {
+            cluster.hang_disk(host, 9000);
+        }
+        cluster.propose(leader)?;
+        let acknowledged = cluster.checks.acknowledged.len();
+        for (millis, expected) in [(4500, true), (3000, false)] {
+            cluster.run(millis)?;
+            let has_quorum = call_replica(&mut cluster, leader, |node, now| node.has_quorum(now));
+            assert_eq!(has_quorum, expected, "seed {seed}, {millis} ms later");
+            assert_eq!(cluster.checks.acknowledged.len(), acknowledged, "seed {seed}");
+        }
+        assert_eq!(cluster.highest_term(), term, "seed {seed}");
+        assert!(commit_one(&mut cluster, 2000 + TAKEOVER_MILLIS)?, "seed {seed}");
+    }
+    Ok(())
+}
