--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -1,5 +1,4 @@
 use std::cmp::Ordering;
-use std::time::Duration;
 
 use gw_agreement::EntryPayload;
 use gw_agreement::Envelope;
@@ -17,6 +16,7 @@
 use crate::control::control_host::PendingRead;
 use crate::control::control_host::Replica;
 use crate::control::control_host::ReplySink;
+use crate::control::replica_journal::SLOW_SYNC;
 use crate::link::CallFailure;
 use crate::link::CallResult;
 use crate::link::LinkMessage;
@@ -187,8 +187,6 @@
     /// Hands the leadership over if the others commit entries that this leader cannot apply since its
     /// disk hangs. While their disks hang as well, it stays.
     pub(crate) fn relieve_leader(&self) {
-        /// Shortest election timeout: the others would replace a leader that is silent for as long.
-        const SLOW_SYNC: Duration = Duration::from_millis(500);
         let now = self.now();
         let transferred = {
             let mut slot = self.replica.borrow_mut();
--- a/crates/gw-gateway/src/control/replica_journal.rs
+++ b/crates/gw-gateway/src/control/replica_journal.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use gw_agreement::Membership;
 use gw_agreement::PersistToken;
 use gw_agreement::RecoveredState;
@@ -13,6 +15,11 @@
 use crate::control::replica_identity::JOURNAL_FOLDER;
 use crate::control::replica_identity::ReplicaIdentity;
 
+/// Wait of a batch for its sync that is logged, and after which a leader hands over if the others
+/// commit without it. The shortest election timeout: a leader that was silent for as long would be
+/// replaced.
+pub(crate) const SLOW_SYNC: Duration = Duration::from_millis(500);
+
 impl ControlHost {
     /// Starts to open the journal in the data directory, unless an earlier thread still uses it. The
     /// replica runs once it is open.
@@ -79,6 +86,10 @@
         if let Some(replica) = self.replica.borrow_mut().as_mut()
             && replica.journal.run() == run
         {
+            let since = replica.unsynced.unsynced_since();
+            if let Some(wait) = since.map(|since| now.since(since)).filter(|at| *at >= SLOW_SYNC) {
+                log::warn!("event=slow_sync millis={}", wait.as_millis());
+            }
             replica.node.persisted(now, token);
             let messages = replica.unsynced.complete(token);
             self.send_all(&mut replica.node, messages);
--- a/crates/gw-gateway/src/lib.rs
+++ b/crates/gw-gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //! adapter that implements [`ports::ProtocolAdapter`] translates between these types and what
 //! callers, targets and operators send and receive.
 //!
-//! Each process runs on a single thread, because its host has only a fraction of a CPU core.
+//! Each process runs on a single thread, because its host has only a fraction of a CPU core. Control
+//! hosts write their journal on a second one, so that they go on while a sync takes long.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
