--- a/crates/gw-daemon/tests/journal_thread.rs
+++ b/crates/gw-daemon/tests/journal_thread.rs
@@ -1,15 +1,11 @@
 //! Journals that a thread of their own writes.
 
 use std::io;
-use std::sync::Arc;
-use std::sync::Condvar;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use gw_agreement::HardState;
 use gw_agreement::LogIndex;
 use gw_agreement::Membership;
-use gw_agreement::PersistToken;
 use gw_agreement::RecoveredState;
 use gw_agreement::ReplicaNode;
 use gw_agreement::ReplicaOptions;
@@ -20,7 +16,6 @@
 use gw_journal::CallKind;
 use gw_journal::CrashMode;
 use gw_journal::MemoryStorage;
-use gw_journal::Storage;
 use gw_types::HostId;
 use gw_types::Timestamp;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -30,66 +25,6 @@
 /// Longest wait for a report that must come.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Whether the syncs of a disk hang.
-#[derive(Default)]
-struct SyncGate {
-    is_closed: Mutex<bool>,
-    opened: Condvar,
-}
-
-impl SyncGate {
-    fn set_closed(&self, is_closed: bool) {
-        *self.is_closed.lock().expect("a gate") = is_closed;
-        self.opened.notify_all();
-    }
-
-    fn pass(&self) {
-        let is_closed = self.is_closed.lock().expect("a gate");
-        drop(self.opened.wait_while(is_closed, |is_closed| *is_closed).expect("a gate"));
-    }
-}
-
-/// Disk whose syncs hang while its gate is closed.
-struct HangingDisk {
-    disk: MemoryStorage,
-    gate: Arc<SyncGate>,
-}
-
-impl Storage for HangingDisk {
-    fn lock(&mut self) -> io::Result<()> {
-        self.disk.lock()
-    }
-
-    fn list(&mut self) -> io::Result<Vec<String>> {
-        self.disk.list()
-    }
-
-    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
-        self.disk.read(name)
-    }
-
-    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        self.disk.append(name, bytes)
-    }
-
-    fn sync(&mut self, name: &str) -> io::Result<()> {
-        self.gate.pass();
-        self.disk.sync(name)
-    }
-
-    fn sync_folder(&mut self) -> io::Result<()> {
-        self.disk.sync_folder()
-    }
-
-    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
-        self.disk.rename(from, to)
-    }
-
-    fn remove(&mut self, name: &str) -> io::Result<()> {
-        self.disk.remove(name)
-    }
-}
-
 /// The only replica of a group, and the thread of its journal.
 struct SoleReplica {
     node: ReplicaNode,
@@ -97,16 +32,15 @@
     unsynced: SyncQueue,
     reports: UnboundedReceiver<JournalReport>,
     disk: MemoryStorage,
-    gate: Arc<SyncGate>,
     now: Timestamp,
 }
 
 impl SoleReplica {
     async fn start() -> Self {
-        let (disk, gate) = (MemoryStorage::new(), Arc::new(SyncGate::default()));
+        let disk = MemoryStorage::new();
         let (sender, mut reports) = unbounded_channel();
-        let storage = HangingDisk { disk: disk.clone(), gate: gate.clone() };
-        let open = move || JournalWriter::open_storage(Box::new(storage));
+        let storage = Box::new(disk.clone());
+        let open = move || JournalWriter::open_storage(storage);
         let journal = JournalThread::start(7, open, sender).expect("a thread");
         let Some(JournalReport::Opened { run: 7, recovered }) = reports.recv().await else {
             panic!("the journal is not opened");
@@ -115,7 +49,7 @@
         let members = Membership::of_voters([HostId(1)]);
         let node = ReplicaNode::new(ReplicaOptions::new(HostId(1), members, 1), recovered, now);
         let unsynced = SyncQueue::default();
-        Self { node, journal, unsynced, reports, disk, gate, now }
+        Self { node, journal, unsynced, reports, disk, now }
     }
 
     /// Hands the replica's batches over, and returns the index that it has applied.
@@ -137,14 +71,13 @@
         report.expect("a report in time").expect("a report")
     }
 
-    async fn wait_for_sync(&mut self) -> PersistToken {
+    async fn wait_for_sync(&mut self) {
         let JournalReport::Synced { run: 7, token } = self.report().await else {
             panic!("not synced");
         };
         self.unsynced.complete(token);
         self.node.persisted(self.now, token);
         self.drive();
-        token
     }
 
     /// Elects the replica and waits until it has applied the first entry of its term.
@@ -162,11 +95,11 @@
         self.drive();
         index
     }
+}
 
-    /// Returns what a restart would recover.
-    fn recovered(&self) -> RecoveredState {
-        JournalWriter::open_storage(Box::new(self.disk.clone())).expect("a closed journal").1
-    }
+/// Returns what a restart would recover.
+fn recover(disk: &MemoryStorage) -> RecoveredState {
+    JournalWriter::open_storage(Box::new(disk.clone())).expect("a closed journal").1
 }
 
 /// Guards against a caller that waits while a sync hangs, against entries that are applied before
@@ -176,7 +109,7 @@
     let mut replica = SoleReplica::start().await;
     replica.lead().await;
     let applied = replica.node.last_applied();
-    replica.gate.set_closed(true);
+    replica.disk.hang(true);
     let first = replica.propose();
     // The thread may have taken any number of these batches when its sync starts to hang.
     let last = (0..50).map(|_| replica.propose()).last().expect("an index");
@@ -184,7 +117,7 @@
     assert!(replica.unsynced.unsynced_since().is_some());
     assert!(replica.unsynced.unsynced_bytes() >= 51 * 100);
     assert!(replica.reports.try_recv().is_err());
-    replica.gate.set_closed(false);
+    replica.disk.hang(false);
     let mut syncs = 0;
     while replica.node.last_applied() < last {
         replica.wait_for_sync().await;
@@ -201,13 +134,13 @@
 async fn journal_is_closed_only_once_the_hanging_sync_has_ended() {
     let mut replica = SoleReplica::start().await;
     replica.lead().await;
-    replica.gate.set_closed(true);
+    replica.disk.hang(true);
     let last = replica.propose();
-    let SoleReplica { journal, mut reports, disk, gate, .. } = replica;
+    let SoleReplica { journal, mut reports, disk, .. } = replica;
     drop(journal);
     let again = JournalWriter::open_storage(Box::new(disk.clone()));
     assert!(again.is_err(), "the journal is still in use");
-    gate.set_closed(false);
+    disk.hang(false);
     let mut is_synced = false;
     loop {
         match timeout(REPORT_TIMEOUT, reports.recv()).await.expect("a report in time") {
@@ -217,8 +150,7 @@
         }
     }
     assert!(is_synced);
-    let (_, recovered) = JournalWriter::open_storage(Box::new(disk)).expect("a closed journal");
-    assert_eq!(recovered.entries.last().map(|entry| entry.index), Some(last));
+    assert_eq!(recover(&disk).entries.last().map(|entry| entry.index), Some(last));
 }
 
 /// Guards against batches that are written, or reported as synced, after one that has failed.
@@ -239,7 +171,7 @@
         replica.propose();
         assert!(replica.reports.recv().await.is_none(), "{kind:?}: the last report");
         replica.disk.crash(CrashMode::LoseUnsynced);
-        let recovered = replica.recovered();
+        let recovered = recover(&replica.disk);
         assert_eq!(recovered.entries.last().map(|entry| entry.index), Some(before), "{kind:?}");
         assert_ne!(recovered.hard_state, HardState::default(), "{kind:?}");
     }
--- a/crates/gw-journal/src/memory_storage.rs
+++ b/crates/gw-journal/src/memory_storage.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -14,6 +15,8 @@
 #[derive(Default)]
 pub struct MemoryStorage {
     disk: Arc<Mutex<Disk>>,
+    /// Notified when syncs no longer hang.
+    resumed: Arc<Condvar>,
     /// Number of crashes of the disk when this handle locked it, if it did.
     locked_at: Option<u64>,
 }
@@ -66,6 +69,7 @@
     fail_at: Option<(u64, io::ErrorKind)>,
     /// Kind of call whose next occurrence fails, and its error.
     fail_kind: Option<(CallKind, io::ErrorKind)>,
+    hangs: bool,
 }
 
 #[derive(Default)]
@@ -98,6 +102,12 @@
         self.disk().fail_kind = Some((kind, error));
     }
 
+    /// Makes all syncs of files wait, or go on. Only for callers on other threads.
+    pub fn hang(&self, hangs: bool) {
+        self.disk().hangs = hangs;
+        self.resumed.notify_all();
+    }
+
     /// Simulates a crash of the host. Releases the lock, clears injected faults and loses unsynced
     /// data as `mode` specifies.
     pub fn crash(&self, mode: CrashMode) {
@@ -152,7 +162,8 @@
 impl Clone for MemoryStorage {
     /// Creates another handle on the same disk. It does not hold the lock.
     fn clone(&self) -> Self {
-        Self { disk: Arc::clone(&self.disk), locked_at: None }
+        let (disk, resumed) = (Arc::clone(&self.disk), Arc::clone(&self.resumed));
+        Self { disk, resumed, locked_at: None }
     }
 }
 
@@ -238,7 +249,8 @@
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        let mut disk = self.disk();
+        let disk = self.resumed.wait_while(self.disk(), |disk| disk.hangs);
+        let mut disk = disk.unwrap_or_else(PoisonError::into_inner);
         let result = disk.begin_call(CallKind::Sync);
         let file = disk.existing_file(name)?;
         file.sync_failed |= result.is_err();
