fix(gw-gateway): a leader whose disk hangs stays while later entries wait for the others

What callers saw: in a run of control_memory beside other builds, with syncs of up to 18 s on all three hosts (event=slow_sync), two of the leaders that handed over left the lead only 0.7 s later, at the deadline of the transfer; proposals are refused meanwhile. Cause, by reading: the hand-over also started while later entries waited for the others, so that the transfer, which needs a replica with the whole log, could not begin. The logs do not show the entries. Change: it starts only when all entries of the leader are committed.

--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -184,8 +184,9 @@
         }
     }
 
-    /// Hands the leadership over if the others commit entries that this leader cannot apply since its
-    /// disk hangs. While their disks hang as well, it stays.
+    /// Hands the leadership over if the others have committed entries that this leader cannot apply
+    /// since its disk hangs. While later entries wait for them, their disks may hang as well: the
+    /// leader stays, since a transfer would have to wait too.
     pub(crate) fn relieve_leader(&self) {
         let now = self.now();
         let transferred = {
@@ -195,10 +196,13 @@
             };
             let since = replica.unsynced.unsynced_since();
             let is_slow = since.is_some_and(|since| now.since(since) >= SLOW_SYNC);
-            if !is_slow || replica.node.commit_index() <= replica.node.last_applied() {
+            let node = &mut replica.node;
+            let can_others_commit = node.commit_index() > node.last_applied()
+                && node.commit_index() == node.last_index();
+            if !is_slow || !can_others_commit {
                 return;
             }
-            replica.node.transfer_leadership(now)
+            node.transfer_leadership(now)
         };
         // An error says that a transfer is under way or that the leadership is being lost.
         if let Ok(to) = transferred {
