--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -57,7 +57,8 @@
     let peers = SocketAddr::new(settings.address, settings.peer_port);
     let peers = bind("peers", peers).await?;
     let metrics = SocketAddr::new(settings.address, settings.peer_port + 1);
-    let host = ControlHost::new(settings, adapter, dialer.clone(), control_address);
+    let (reports, mut journal) = mpsc::unbounded_channel();
+    let host = ControlHost::new(settings, adapter, dialer.clone(), control_address, reports);
     start_replica(&host, 0);
     let (events, mut queue) = mpsc::channel(EVENT_QUEUE_LEN);
     spawn_local(accept_links(peers, events.clone(), host.bounds, host.memory.clone()));
@@ -86,6 +87,7 @@
     loop {
         tokio::select! {
             event = queue.recv() => if let Some(event) = event { links.handle_event(event) },
+            report = journal.recv() => if let Some(report) = report { host.handle_journal(report) },
             _ = ticks.tick() => {
                 tick(&host, &mut links, &unreachable, round);
                 round = (round + 1) % TICKS_PER_ROUND;
@@ -131,6 +133,7 @@
 ) {
     start_replica(host, round);
     host.tick_replica();
+    host.relieve_leader();
     let leads = host.is_confirmed_leader() && !host.is_stopping.get();
     if leads {
         host.reconcile_members();
@@ -186,7 +189,7 @@
         return;
     }
     if round == 0
-        && let Err(cause) = host.start_replica(&identity)
+        && let Err(cause) = host.open_journal(&identity)
     {
         log::error!("event=replica_not_started cause=\"{cause}\"");
     }
