--- a/crates/gw-gateway/src/control/order_delivery.rs
+++ b/crates/gw-gateway/src/control/order_delivery.rs
@@ -189,9 +189,9 @@
     outcome
 }
 
-/// Returns the entry hosts that may relay an order, those first that have not failed to reach its target, then those
-/// that can reach targets, then those of the target's zone, each with the latest time on its clock at
-/// which it may send the order.
+/// Returns the entry hosts that may relay an order, each with the latest time on its clock at which
+/// it may send the order. First are those that have not just failed to reach the target, of these
+/// those that can reach targets, and of these those of the target's zone.
 fn relay_candidates(
     host: &ControlHost,
     unreachable: &UnreachableTargets,
