fix(gw-balance): connections between hosts have a group of their own

The group Hosts (0.15 of the descriptors, 614 of the usual 4,096) was made for relays. A leader has a connection from each entry host; the largest deployment in docs/CAPACITY.md has 630, which would meet it. Control hosts have no relays, so the connections that other hosts open get 0.25: 1,024 of 4,096.

--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -116,10 +116,10 @@
 ) {
     let room = ReceiveRoom::new(bounds.received_frames);
     loop {
-        memory.connection_room(ConnectionGroup::Hosts).await;
+        memory.connection_room(ConnectionGroup::Links).await;
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let place = memory.open(ConnectionGroup::Hosts);
+                let place = memory.open(ConnectionGroup::Links);
                 let limits = Some(LinkLimits { place, room: room.clone(), claim: None });
                 spawn_local(run_link(stream, peer, limits, events.clone(), bounds));
             }
