fix(gw-gateway): control hosts that are given up are not asked for the complete state again

Callers saw: nothing yet; found in review of the limit of 1 s for answers. On a link of 2 Mbit/s, a state of 200 KB takes 0.8 s and each further copy as long. Cause: an entry host that selects another control host ends the stream of the earlier one by a request without stream. The earlier one answers with what the entry host lacks, which is the complete state if it was given up before it had answered: two copies from it, beside that of the other control host. Change: the stream of a control host that has not answered ends once it has, when little is lacking.

--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -71,6 +71,8 @@
     /// Details that are not taken over yet: those of a control host that is not in contact with a
     /// majority are kept until it is, since it sends them again only when they change.
     details: Option<HeadDetails>,
+    /// Whether the control host has been asked to stream changes and not to end that.
+    is_streaming: bool,
     last_received: Timestamp,
 }
 
@@ -199,7 +201,16 @@
                 link.send(&LinkMessage::Hello { host, zone, kind: HostKind::Entry, relay });
                 let last_received = self.host.now();
                 let (zone, head, details) = (None, None, None);
-                self.links.push(ControlLink { link, peer, zone, head, details, last_received });
+                let is_streaming = false;
+                self.links.push(ControlLink {
+                    link,
+                    peer,
+                    zone,
+                    head,
+                    details,
+                    is_streaming,
+                    last_received,
+                });
             }
             LinkEvent::Closed { id } => {
                 self.links.retain(|link| link.link.id != id);
@@ -236,11 +247,13 @@
                 if !self.host.apply_updates(after, through, &commands) {
                     self.request_entries(link);
                 }
+                self.end_earlier_streams();
                 self.check_progress();
             }
             LinkMessage::Snapshot { index, state } => {
                 self.fetch.finish(link.id);
                 self.host.install_snapshot(index, *state);
+                self.end_earlier_streams();
                 self.check_progress();
             }
             LinkMessage::EncodedState { index, state } => {
@@ -251,6 +264,7 @@
                         log::error!("event=state_not_read index={index} cause=\"{error}\"")
                     }
                 }
+                self.end_earlier_streams();
                 self.check_progress();
             }
             LinkMessage::ColdTargets(message) => {
@@ -349,16 +363,24 @@
         if !self.may_fetch() {
             return;
         }
-        let old = self.links.iter().find(|link| self.stream == Some(link.link.id));
-        if let Some(old) = old {
-            // Ends the stream; the reply contains few entries, as the host has just followed it.
-            let after = self.host.learned.borrow().fetch_index();
-            old.link.send(&LinkMessage::Fetch { after, stream: false });
-        }
         self.stream = Some(best.id);
+        self.end_earlier_streams();
         self.request_entries(&best);
     }
 
+    /// Ends the streams of other control hosts than the selected one. Each replies with the entries that
+    /// this host lacks. One that has not answered yet may still send the complete state, which would
+    /// follow once more, so its stream ends once it has answered.
+    fn end_earlier_streams(&mut self) {
+        let after = self.host.learned.borrow().fetch_index();
+        for link in self.links.iter_mut().filter(|link| link.is_streaming) {
+            let id = link.link.id;
+            if self.stream != Some(id) && !self.fetch.is_unanswered(id) {
+                link.is_streaming = !link.link.send(&LinkMessage::Fetch { after, stream: false });
+            }
+        }
+    }
+
     /// Whether no reply with missing entries is on its way.
     fn may_fetch(&self) -> bool {
         let progress = |id: LinkId| {
@@ -378,6 +400,8 @@
         let stream = self.stream == Some(link.id);
         if link.send(&LinkMessage::Fetch { after, stream }) {
             self.fetch.start(self.host.now(), link.id);
+            let known = self.links.iter_mut().find(|known| known.link.id == link.id);
+            known.into_iter().for_each(|known| known.is_streaming = stream);
         }
     }
 
