--- a/crates/gw-agreement/src/replica_node.rs
+++ b/crates/gw-agreement/src/replica_node.rs
@@ -35,6 +35,9 @@
 /// sends `messages`, writes and syncs `persist`, calls [`persisted`](Self::persisted), sends
 /// `messages_after_sync`, and applies `install` and `committed`. If a write or sync fails, the
 /// caller must drop the replica and restart it from the state that the journal recovers.
+///
+/// The caller may go on while batches are written, with [`SyncQueue`](crate::SyncQueue): it writes
+/// them in order, and applies `install` and `committed` at once.
 pub struct ReplicaNode {
     pub(crate) options: ReplicaOptions,
     pub(crate) role: ReplicaRole,
@@ -73,6 +76,7 @@
     /// Last entry of the log. Lowered if the log is truncated after the batch was returned.
     last_index: LogIndex,
     hard_state: HardState,
+    returned_at: Timestamp,
 }
 
 impl ReplicaNode {
@@ -112,7 +116,13 @@
         if self.role.leader_state().is_some() {
             self.tick_leader(now);
         } else if self.may_campaign() && now >= self.election_deadline {
-            self.start_pre_vote(now);
+            // A candidate counts its own vote only once that is synced. While an earlier term or vote
+            // is not, for example because the disk hangs, a further campaign only raises the term.
+            if self.synced_hard_state == self.hard_state {
+                self.start_pre_vote(now);
+            } else {
+                self.postpone_pre_vote(now);
+            }
         }
     }
 
@@ -225,7 +235,7 @@
             persist.hard_state = Some(self.hard_state);
         }
         if !persist.is_empty() {
-            self.record_unsynced_batch();
+            self.record_unsynced_batch(now);
         }
         let mut ready = Ready {
             token: PersistToken(self.last_token),
@@ -241,12 +251,13 @@
         ready
     }
 
-    fn record_unsynced_batch(&mut self) {
+    fn record_unsynced_batch(&mut self, now: Timestamp) {
         self.last_token += 1;
         let token = PersistToken(self.last_token);
         let last_index = self.log.last_index();
         let hard_state = self.hard_state;
-        self.unsynced_batches.push_back(UnsyncedBatch { token, last_index, hard_state });
+        let batch = UnsyncedBatch { token, last_index, hard_state, returned_at: now };
+        self.unsynced_batches.push_back(batch);
     }
 
     fn take_install(&mut self) -> Option<Snapshot> {
@@ -285,6 +296,15 @@
         }
     }
 
+    /// Returns whether the term and the entries up to `index` are synced. False while the disk hangs
+    /// for too long.
+    pub(crate) fn is_synced(&self, now: Timestamp, index: LogIndex) -> bool {
+        let oldest = self.unsynced_batches.front();
+        let is_hanging =
+            oldest.is_some_and(|batch| now.since(batch.returned_at) >= self.options.max_sync_time);
+        !is_hanging && self.synced_hard_state == self.hard_state && index <= self.last_synced
+    }
+
     pub(crate) fn has_fault(&self, fault: InjectedFault) -> bool {
         self.options.injected_fault == Some(fault)
     }
--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -16,6 +16,7 @@
 
 use crate::control::control_host::CONTACT_TIMEOUT;
 use crate::control::control_host::ControlHost;
+use crate::control::control_host::Replica;
 use crate::control::control_host::ReplySink;
 use crate::control::replica_identity::ReplicaIdentity;
 use crate::link::CallResult;
@@ -186,15 +187,38 @@
         self.save_identity(identity);
     }
 
+    /// Whether this host may tell the replica `id` that the group has removed it. A replica that lost
+    /// members need not be connected to the leader, so followers tell it as well, but only once it is no
+    /// member of the log's group either: until then its vote may be needed to elect a leader.
+    pub(crate) fn knows_as_removed(&self, id: HostId) -> bool {
+        if !self.log.borrow().state().is_removed(id) {
+            return false;
+        }
+        let is_member = |replica: &Replica| replica.node.membership().contains(id);
+        self.is_confirmed_leader()
+            || self.is_current() && !self.replica.borrow().as_ref().is_some_and(is_member)
+    }
+
     /// Handles the removal of this replica from the group: wipes its data so that it joins again as
-    /// a new replica.
+    /// a new replica. Waits until the journal is closed.
     pub(crate) fn handle_removal(&self, id: HostId) {
         let own = self.identity.borrow().as_ref().and_then(|identity| identity.id);
-        if own != Some(id) {
+        if own != Some(id) || self.is_removed.get() {
             return;
         }
         log::warn!("event=replica_was_removed id={}", id.0);
         *self.replica.borrow_mut() = None;
+        *self.opening.borrow_mut() = None;
+        self.is_removed.set(true);
+        self.finish_removal();
+    }
+
+    /// Wipes the data of a replica that was removed, unless the journal is still in use.
+    pub(crate) fn finish_removal(&self) {
+        if !self.is_removed.get() || self.journal.borrow().is_open() {
+            return;
+        }
+        self.is_removed.set(false);
         let data = self.settings.borrow().data_dir.clone();
         if let Some(Err(error)) = data.as_ref().map(|data| ReplicaIdentity::remove(data)) {
             log::error!("event=data_not_removed cause=\"{error}\"");
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -11,7 +11,6 @@
 use gw_balance::HostCount;
 use gw_balance::LearningTime;
 use gw_balance::LimitTable;
-use gw_balance::LoadUses;
 use gw_balance::PreferredTargets;
 use gw_balance::RequestQueue;
 use gw_balance::SentBytes;
@@ -88,7 +87,8 @@
     /// Whether the state has once been as recent as that of a control host in contact with a
     /// majority.
     pub(crate) has_caught_up: Cell<bool>,
-    /// Whether this host is connected to most of the control hosts that it knows.
+    /// Whether this host is connected to a control host in contact with a majority, or to most of the
+    /// control hosts that it knows.
     pub(crate) reaches_majority: Cell<bool>,
     /// When a control host in contact with a majority was last heard.
     pub(crate) last_contact: Cell<Timestamp>,
@@ -162,8 +162,7 @@
         let transfers = TransferGate::new(settings.link_rate);
         let metrics = Rc::new(GatewayMetrics::default());
         let memory = MemoryGate::new(&settings, MEMORY_SHARE, SOCKET_BUFFER_BYTES, metrics.clone());
-        let mut pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
-        pool.set_load_uses(LoadUses::default());
+        let pool = TargetPool::new(settings.host.clone(), settings.zone.clone());
         Rc::new(Self {
             settings: RefCell::new(settings),
             adapter,
--- a/crates/gw-gateway/src/memory/connection_memory.rs
+++ b/crates/gw-gateway/src/memory/connection_memory.rs
@@ -11,6 +11,9 @@
 use crate::memory::HeldBytes;
 use crate::memory::MemoryGate;
 
+/// Bytes by which a body of unknown length grows at least.
+pub(crate) const BODY_STEP_BYTES: usize = 64 * 1024;
+
 /// Verdicts that a connection has not acted on yet.
 #[derive(Default)]
 pub(super) struct VerdictCell {
@@ -19,6 +22,8 @@
     decided: Notify,
     is_closed: Cell<bool>,
     closed: Notify,
+    is_retired: Cell<bool>,
+    retired: Notify,
 }
 
 impl VerdictCell {
@@ -28,6 +33,10 @@
                 self.is_closed.set(true);
                 self.closed.notify_one();
             }
+            MemoryVerdict::Retired => {
+                self.is_retired.set(true);
+                self.retired.notify_one();
+            }
             MemoryVerdict::Granted | MemoryVerdict::Refused => {
                 self.is_granted.set(Some(verdict == MemoryVerdict::Granted));
                 self.decided.notify_one();
@@ -91,6 +100,14 @@
         self.granted.get()
     }
 
+    /// Returns the size for which a body of unknown length asks that needs `needed` bytes and is
+    /// limited to `limit`: a quarter more than was granted, so that it asks seldom.
+    pub(crate) fn next_size(&self, needed: usize, limit: usize) -> usize {
+        let granted = self.granted.get();
+        let step = granted + (granted / 4).max(BODY_STEP_BYTES);
+        step.min(limit).min(self.gate.largest_body()).max(needed)
+    }
+
     /// Asks for memory so that the body that is arriving may grow to `bytes`.
     pub(crate) fn demand(&self, bytes: usize, max_wait: Duration) -> DemandAnswer {
         let answer =
@@ -144,6 +161,18 @@
         }
     }
 
+    /// Whether the connection is to end with its next response.
+    pub(crate) fn is_retired(&self) -> bool {
+        self.verdict.is_retired.get()
+    }
+
+    /// Waits until the connection is to end with its next response.
+    pub(crate) async fn told_to_retire(&self) {
+        while !self.is_retired() {
+            self.verdict.retired.notified().await;
+        }
+    }
+
     /// Waits until the connection is told to close.
     pub(crate) async fn told_to_close(&self) {
         while !self.verdict.is_closed.get() {
