--- a/crates/gw-gateway/src/entry/control_links.rs
+++ b/crates/gw-gateway/src/entry/control_links.rs
@@ -2,10 +2,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gw_balance::AnsweredRequests;
 use gw_balance::PreferredTargets;
 use gw_balance::RelayPeer;
-use gw_dispatch::QuarantineEntry;
 use gw_fleet::ControlChoice;
 use gw_fleet::FleetState;
 use gw_fleet::FormatVersion;
@@ -13,9 +11,6 @@
 use gw_fleet::ReplicaRecord;
 use gw_fleet::StateFetch;
 use gw_ranges::HolderShare;
-use gw_ranges::OrderKind;
-use gw_ranges::RangeHolder;
-use gw_ranges::TargetOrder;
 use gw_types::Timestamp;
 use gw_types::ZoneName;
 use tokio::sync::mpsc;
@@ -24,30 +19,22 @@
 use tokio::time::sleep_until;
 
 use crate::entry::entry_host::EntryHost;
-use crate::link::CallResult;
+use crate::entry::relayed_order::relay_order;
 use crate::link::DialedPeers;
-use crate::link::EntryReport;
 use crate::link::HeadDetails;
 use crate::link::HeadMessage;
 use crate::link::HostKind;
-use crate::link::LimitReport;
 use crate::link::LinkEvent;
 use crate::link::LinkHandle;
 use crate::link::LinkId;
 use crate::link::LinkMessage;
 use crate::link::RelayReport;
-use crate::link::RunReport;
-use crate::link::ServiceHeat;
 use crate::link::ShareReport;
 use crate::memory_bounds::MemoryBounds;
 use crate::ports::TargetDialer;
-use crate::targets::send_order;
 
 /// Interval between reports to control hosts.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
-/// Ticks between reports to control hosts that do not lead; the reports show them that this host is
-/// alive.
-const FOLLOWER_REPORT_TICKS: u32 = 2;
 /// Age of a control host's last message after which its state updates are not relied on.
 const MAX_HEAD_AGE: Duration = Duration::from_millis(1_000);
 /// Age after which the leader's list of overloaded holders is discarded: keys move off an
@@ -56,24 +43,21 @@
 /// How long another control host may be ahead of this host's state before the missing entries are
 /// requested from it.
 const MAX_LAG: Duration = Duration::from_millis(120);
-/// Interval at which a host logs that its state may be outdated: the time within which a
-/// change has to be in force.
-const OUTDATED_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Capacity of the queue of connection events.
 const EVENT_QUEUE_LEN: usize = 1024;
 
-struct ControlLink {
-    link: LinkHandle,
-    peer: SocketAddr,
+pub(super) struct ControlLink {
+    pub(super) link: LinkHandle,
+    pub(super) peer: SocketAddr,
     zone: Option<ZoneName>,
     /// The newest head, without its details.
-    head: Option<HeadMessage>,
+    pub(super) head: Option<HeadMessage>,
     /// Details that are not taken over yet: those of a control host that is not in contact with a
     /// majority are kept until it is, since it sends them again only when they change.
     details: Option<HeadDetails>,
     /// Whether the control host has been asked to stream changes and not to end that.
     is_streaming: bool,
-    last_received: Timestamp,
+    pub(super) last_received: Timestamp,
 }
 
 /// Follows the control log over connections to control hosts, and sends them reports.
@@ -82,16 +66,16 @@
 /// only announce their log index; entries are requested from one of them when the stream falls
 /// behind.
 pub(crate) struct ControlLinks {
-    host: Rc<EntryHost>,
+    pub(super) host: Rc<EntryHost>,
     /// Connections to control hosts, by address.
     dialed: DialedPeers,
-    links: Vec<ControlLink>,
+    pub(super) links: Vec<ControlLink>,
     /// What is known about the control hosts.
-    group: ControlChoice,
+    pub(super) group: ControlChoice,
     /// Whether no control host was usable at the last tick.
     is_cut_off: bool,
     /// Number of ticks so far.
-    ticks: u32,
+    pub(super) ticks: u32,
     /// Connection over which changes are streamed.
     stream: Option<LinkId>,
     fetch: StateFetch<LinkId>,
@@ -99,11 +83,11 @@
     behind_since: Option<Timestamp>,
     /// Connection to the leader over which evidence of crashes was last reported, and the revision of
     /// the quarantine that was.
-    reported_crashes: Option<(LinkId, u64)>,
+    pub(super) reported_crashes: Option<(LinkId, u64)>,
     /// When the leader last reported the overloaded holders.
     shares_received_at: Timestamp,
     /// When the host last logged that its state may be outdated, or started.
-    outdated_logged_at: Timestamp,
+    pub(super) outdated_logged_at: Timestamp,
 }
 
 impl ControlLinks {
@@ -340,7 +324,7 @@
     }
 
     /// Whether a control host is in contact with a majority and was heard recently.
-    fn is_usable(link: &ControlLink, now: Timestamp) -> bool {
+    pub(super) fn is_usable(link: &ControlLink, now: Timestamp) -> bool {
         let is_current = link.head.as_ref().is_some_and(|head| head.is_current);
         is_current && now.since(link.last_received) < MAX_HEAD_AGE
     }
@@ -382,7 +366,7 @@
     }
 
     /// Whether no reply with missing entries is on its way.
-    fn may_fetch(&self) -> bool {
+    pub(super) fn may_fetch(&self) -> bool {
         let progress = |id: LinkId| {
             let link = &self.links.iter().find(|link| link.link.id == id)?.link;
             let (last_byte, last_part) = (link.last_byte.get(), link.last_part.get());
@@ -458,113 +442,6 @@
             self.host.throttle.borrow_mut().update(Vec::new(), 0.0);
         }
     }
-
-    /// Logs, at intervals, that no control host in contact with a majority has confirmed this host's
-    /// state for some time. Requests are served with it nevertheless.
-    fn log_outdated_state(&mut self, now: Timestamp) {
-        let current_at = self.host.current_at.get().unwrap_or(Timestamp::ZERO);
-        if now.since(current_at.max(self.outdated_logged_at)) < OUTDATED_LOG_INTERVAL {
-            return;
-        }
-        self.outdated_logged_at = now;
-        let heads = self.links.iter().filter_map(|link| link.head.as_ref());
-        let newest = heads.map(|head| head.index).max();
-        let current = self.links.iter().filter(|link| Self::is_usable(link, now)).count();
-        let connected: Vec<_> = self.links.iter().map(|link| link.peer).collect();
-        let hosts: Vec<_> = self.group.hosts.iter().map(|(address, _)| *address).collect();
-        log::warn!(
-            "event=state_outdated config={} applied={} newest={newest:?} contact_ms={} \
-             connected={connected:?} current={current} known={hosts:?} seeds={:?} awaits_reply={}",
-            self.host.state().config_version(),
-            self.host.applied(),
-            now.since(self.host.last_contact.get()).as_millis(),
-            self.host.settings.borrow().seeds,
-            !self.may_fetch(),
-        );
-    }
-
-    fn report(&mut self) {
-        let now = self.host.now();
-        let is_leader = |link: &&ControlLink| link.head.as_ref().is_some_and(|head| head.is_leader);
-        let leader = self.links.iter().filter(is_leader).max_by_key(|link| link.last_received);
-        let leader = leader.map(|link| link.link.id);
-        self.host.quarantine.borrow_mut().expire(now);
-        let mut crashes = self.take_crashes(now, leader);
-        let base = EntryReport {
-            clock: now.as_nanos(),
-            applied: self.host.applied(),
-            heat: Vec::new(),
-            runs: Vec::new(),
-            crashes: Vec::new(),
-            limits: Vec::new(),
-            leaving: Vec::new(),
-            takes_relays: self.host.takes_relays(),
-        };
-        self.ticks = self.ticks.wrapping_add(1);
-        let is_follower_turn = self.ticks.is_multiple_of(FOLLOWER_REPORT_TICKS);
-        for link in &self.links {
-            let is_leader = Some(link.link.id) == leader;
-            if !is_leader && !is_follower_turn {
-                continue;
-            }
-            let report = if is_leader {
-                let heat = self.take_request_counts();
-                let runs = self.take_answered();
-                let limits = LimitReport::of(now, &self.host.named_limits.borrow());
-                let leaving = self.host.pool.borrow().leaving();
-                let crashes = std::mem::take(&mut crashes);
-                EntryReport { heat, runs, crashes, limits, leaving, ..base.clone() }
-            } else {
-                base.clone()
-            };
-            link.link.send(&LinkMessage::Report(report));
-            if is_leader && link.link.supports(FormatVersion::EVACUATIONS) {
-                let paces = self.host.pool.borrow_mut().take_paces();
-                let percent = |(holder, pace): (RangeHolder, f64)| (holder, (pace * 100.0) as u16);
-                let percents: Vec<_> = paces.into_iter().map(percent).collect();
-                if !percents.is_empty() {
-                    link.link.send(&LinkMessage::TargetPaces { percents });
-                }
-                let reports = self.host.take_warmth_reports();
-                if !reports.is_empty() {
-                    link.link.send(&LinkMessage::Warmth { reports });
-                }
-            }
-        }
-    }
-
-    /// Returns the evidence of crashes that was not reported over this connection to the leader yet.
-    /// A new leader knows nothing of what was reported to the last one.
-    fn take_crashes(&mut self, now: Timestamp, leader: Option<LinkId>) -> Vec<QuarantineEntry> {
-        let quarantine = self.host.quarantine.borrow();
-        let reported = self.reported_crashes.take().filter(|(link, _)| Some(*link) == leader);
-        let Some(leader) = leader else { return Vec::new() };
-        self.reported_crashes = Some((leader, quarantine.revision()));
-        quarantine.changed_entries(now, reported.map_or(0, |(_, revision)| revision))
-    }
-
-    fn take_request_counts(&self) -> Vec<ServiceHeat> {
-        let mut reports: Vec<ServiceHeat> = Vec::new();
-        for ((service, key), count) in std::mem::take(&mut *self.host.request_counts.borrow_mut()) {
-            match reports.last_mut().filter(|report| report.service == service) {
-                Some(report) => report.counts.push((key, count)),
-                None => reports.push(ServiceHeat { service, counts: vec![(key, count)] }),
-            }
-        }
-        reports
-    }
-
-    fn take_answered(&self) -> Vec<RunReport> {
-        let answered = self.host.pool.borrow_mut().take_answered(self.host.now());
-        let report = |answered: AnsweredRequests| RunReport {
-            holder: answered.holder,
-            runs: answered.count,
-            milliseconds: u32::try_from(answered.total.as_millis()).unwrap_or(u32::MAX),
-            rests: answered.rests,
-            rest_millis: u32::try_from(answered.rest.as_millis()).unwrap_or(u32::MAX),
-        };
-        answered.into_iter().map(report).collect()
-    }
 }
 
 /// Waits until a time; forever if there is none.
@@ -574,31 +451,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Delivers an order to a target on behalf of the control leader, which cannot reach the target
-/// itself.
-async fn relay_order(
-    host: Rc<EntryHost>,
-    link: LinkHandle,
-    call: u64,
-    order: TargetOrder,
-    address: SocketAddr,
-    send_before: Timestamp,
-) {
-    let is_grant = matches!(order.kind, OrderKind::Grant { .. });
-    let may_send =
-        || host.now() < send_before && (!is_grant || host.state().may_grant(&order.holder));
-    let reply = send_order(&*host.adapter, &host.connections, address, &order, may_send).await;
-    if reply.is_leaving {
-        host.pool.borrow_mut().record_leaving(host.now(), &order.holder);
-    }
-    let outcome = reply.outcome;
-    log::info!(
-        "event=order_relayed service={} target={} range={} fence={} outcome={outcome:?}",
-        order.service,
-        order.holder,
-        order.range,
-        order.fence,
-    );
-    link.send(&LinkMessage::Answer { call, result: CallResult::Order(outcome) });
-}
--- a/crates/gw-gateway/src/entry/mod.rs
+++ b/crates/gw-gateway/src/entry/mod.rs
@@ -3,7 +3,9 @@
 mod admission;
 mod cold_watch;
 mod control_links;
+mod control_reports;
 mod entry_host;
+mod followed_state;
 mod forwarded_stream;
 mod hedged_attempt;
 mod local_reply;
@@ -12,6 +14,7 @@
 mod relay_attempt;
 mod relay_headers;
 mod relay_hosts;
+mod relayed_order;
 mod request_handler;
 mod run_entry;
 mod target_attempt;
