--- a/crates/gw-balance/src/memory_budget.rs
+++ b/crates/gw-balance/src/memory_budget.rs
@@ -194,8 +194,8 @@
         ConnectionAnswer::Close(id)
     }
 
-    /// Chooses the oldest connection of a group in which all are busy, if it is not new. Otherwise callers that never
-    /// leave would keep all others out.
+    /// Chooses the oldest connection of a group in which all are busy, if it is not new. Otherwise
+    /// callers that never leave would keep all others out.
     fn retire_oldest(&mut self, now: Timestamp, group: ConnectionGroup) -> ConnectionAnswer {
         let entries = || self.connections.iter().filter(|entry| entry.group == group);
         let retiring = entries().filter(|entry| entry.is_retiring).count();
