--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -147,7 +147,7 @@
     let mut is_lost = false;
     loop {
         let connected = tokio::select! {
-            connected = timeout(CONNECT_TIMEOUT, dialer.dial(peer)) => connected,
+            connected = timeout(CONNECT_TIMEOUT, dialer.dial_link(peer)) => connected,
             () = unwanted.as_mut() => return,
         };
         match connected {
--- a/crates/gw-gateway/src/ports/target_dialer.rs
+++ b/crates/gw-gateway/src/ports/target_dialer.rs
@@ -7,11 +7,19 @@
 
 /// Opens connections to targets and to other hosts.
 pub trait TargetDialer {
-    /// Opens a connection to `address`.
+    /// Opens a connection to `address` for requests and orders.
     fn dial(
         &self,
         address: SocketAddr,
     ) -> Pin<Box<dyn Future<Output = io::Result<TcpStream>> + '_>>;
+
+    /// Opens a connection to `address` for messages between hosts.
+    fn dial_link(
+        &self,
+        address: SocketAddr,
+    ) -> Pin<Box<dyn Future<Output = io::Result<TcpStream>> + '_>> {
+        Box::pin(TcpStream::connect(address))
+    }
 }
 
 /// Opens connections over the host's network.
