--- a/crates/gw-daemon/tests/journal_thread.rs
+++ b/crates/gw-daemon/tests/journal_thread.rs
@@ -102,6 +102,21 @@
     JournalWriter::open_storage(Box::new(disk.clone())).expect("a closed journal").1
 }
 
+/// Guards against a wait for a sync that ends before it, or goes on while the disk hangs.
+#[tokio::test]
+async fn waits_end_with_the_sync_or_with_their_limit() {
+    const LIMIT: Duration = Duration::from_millis(10);
+    let mut replica = SoleReplica::start().await;
+    replica.lead().await;
+    replica.disk.hang(true);
+    replica.node.propose(replica.now, vec![1; 100]).expect("a leader");
+    let ready = replica.node.take_ready(replica.now);
+    replica.journal.write(ready.token, ready.persist);
+    assert!(replica.journal.wait_synced(ready.token, LIMIT) < Some(ready.token));
+    replica.disk.hang(false);
+    assert_eq!(replica.journal.wait_synced(ready.token, REPORT_TIMEOUT), Some(ready.token));
+}
+
 /// Guards against a caller that waits while a sync hangs, against entries that are applied before
 /// they are synced, and against one sync for each of the batches that have waited.
 #[tokio::test]
