docs(gw-gateway): two comments say what the merged code does

Hosts that start do not serve by a state that was never confirmed, and followers, too, tell a removed replica so. Comments only; found on reading the whole change once more. cargo fmt passes; nothing else was run on this commit.

--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -377,8 +377,8 @@
         );
     }
 
-    /// Shows this replica to all connected control hosts, whether or not it knows them as members. A
-    /// leader whose group has removed it says so. While this host was cut off, all members that it
+    /// Shows this replica to all connected control hosts, whether or not it knows them as members.
+    /// Those that know that it was removed say so. While this host was cut off, all members that it
     /// knows may have been replaced.
     fn ask_whether_removed(&self, node: &ReplicaNode) {
         let (from, to) = (node.id(), HostId(0));
--- a/crates/gw-gateway/src/entry/control_reports.rs
+++ b/crates/gw-gateway/src/entry/control_reports.rs
@@ -25,7 +25,7 @@
 /// What an entry host reports to control hosts and logs about them.
 impl ControlLinks {
     /// Logs, at intervals, that no control host in contact with a majority has confirmed this host's
-    /// state for some time. Requests are served with it nevertheless.
+    /// state for some time. A host whose state was confirmed once goes on to serve requests with it.
     pub(super) fn log_outdated_state(&mut self, now: Timestamp) {
         let current_at = self.host.current_at.get().unwrap_or(Timestamp::ZERO);
         if now.since(current_at.max(self.outdated_logged_at)) < OUTDATED_LOG_INTERVAL {
