feat(gw-gateway): entry hosts log the number of hosts among which limits are divided

The record has 199 retries where 195 are allowed, by hosts that had just restarted. Whether they divided the allowance by the right number could not be told: event=host_count says when a host learns it, and which.

--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -373,7 +373,10 @@
 
     /// Records the number of entry hosts in all zones, as reported by the leader.
     pub(crate) fn record_host_count(&self, count: usize) {
-        self.host_count.set(count);
+        let was = self.host_count.replace(count);
+        if was != count {
+            log::info!("event=host_count hosts={count} was={was}");
+        }
         self.pool.borrow_mut().set_host_count(count);
         let mut sharing_hosts = self.sharing_hosts.get();
         let before = sharing_hosts.peak();
