fix(gw-gateway): a host uses no retries beyond the share while the number of hosts is unknown

Cause: an entry host divided the slack that all hosts share by 1 until a leader had reported how many there are. Class: a part of a shared allowance that is taken whole while the number of those who share it is unknown. It now takes nothing of the slack then, only the share of its own requests, and later divides by the peak of 10 s, as limits of targets already do, since a new leader counts only the hosts that have connected to it so far.

--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -104,7 +104,7 @@
     /// Those that targets have named to any host.
     limits: RefCell<LimitTable>,
     pub(crate) cold: ColdWatch,
-    /// Number of hosts among which these limits are divided.
+    /// Number of hosts among which these limits and the retry budget are divided.
     sharing_hosts: Cell<HostCount>,
     pub(crate) waiters: RefCell<BTreeMap<u64, oneshot::Sender<SendPermit>>>,
     pub(crate) connections: TargetConnections,
@@ -126,8 +126,6 @@
     /// Number of requests by service and key since the last report.
     pub(crate) request_counts: RefCell<BTreeMap<(ServiceName, u16), u32>>,
     pub(super) preferred_targets: RefCell<PreferredTargets>,
-    /// Number of entry hosts in all zones, as reported by control hosts.
-    pub(crate) host_count: Cell<usize>,
     /// When this process started.
     pub(crate) started_at: Instant,
     /// Notified when the replicated state has changed.
@@ -190,7 +188,6 @@
             move_started: RefCell::default(),
             request_counts: RefCell::default(),
             preferred_targets: RefCell::default(),
-            host_count: Cell::new(1),
             started_at: Instant::now(),
             state_changed: Notify::new(),
             admission_wakeup: Notify::new(),
@@ -373,16 +370,14 @@
 
     /// Records the number of entry hosts in all zones, as reported by the leader.
     pub(crate) fn record_host_count(&self, count: usize) {
-        let was = self.host_count.replace(count);
-        if was != count {
-            log::info!("event=host_count hosts={count} was={was}");
-        }
         self.pool.borrow_mut().set_host_count(count);
         let mut sharing_hosts = self.sharing_hosts.get();
         let before = sharing_hosts.peak();
         sharing_hosts.record(self.now(), u32::try_from(count).unwrap_or(u32::MAX));
         self.sharing_hosts.set(sharing_hosts);
-        if sharing_hosts.peak() != before {
+        let peak = sharing_hosts.peak();
+        if peak != before {
+            log::info!("event=host_count hosts={} was={}", peak.unwrap_or(0), before.unwrap_or(0));
             self.apply_limits();
         }
     }
@@ -412,10 +407,12 @@
             (settings.retry_share * RETRY_BUDGET_SHARE, settings.retry_floor * RETRY_BUDGET_SHARE)
         };
         let now = self.now();
+        let host_count = self.sharing_hosts.get().peak();
         let mut retry_budgets = self.retry_budgets.borrow_mut();
         let budget =
             retry_budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(share, now));
-        budget.set_min_retries(floor / self.host_count.get().max(1) as f64);
+        // While the number of hosts is unknown, so is this host's part of the floor.
+        budget.set_min_retries(host_count.map_or(0.0, |count| floor / f64::from(count)));
         act(budget)
     }
 }
