fix(gw-gateway): a restart does not renew a host's part of the retry budget

Callers saw nothing of it; targets could get more repeats than the budget of their service if hosts restarted while targets failed. Cause: a new process started with a full bucket, though its predecessor may have emptied one within the same window. Class: an allowance kept in memory that a restart renews. A budget now starts without tokens, which are earned within 10 s. Evidence: restarts_do_not_renew_the_retry_budget fails with RetryBudget::new (one restart: 10 retries in 10 s, 8 allowed) and passes.

--- a/crates/gw-dispatch/src/retry_budget.rs
+++ b/crates/gw-dispatch/src/retry_budget.rs
@@ -56,6 +56,12 @@
         }
     }
 
+    /// Creates a budget like [`RetryBudget::new`], but with an empty bucket: for a process whose
+    /// predecessor may have used its tokens within the same window.
+    pub fn without_tokens(share: f64, now: Timestamp) -> Self {
+        Self { tokens: 0.0, ..Self::new(share, now) }
+    }
+
     /// Sets the number of retries that are allowed beyond the share within any window.
     ///
     /// The bucket gets half as many tokens and is refilled once per window: a full bucket then
--- a/crates/gw-dispatch/tests/retries_and_quarantine.rs
+++ b/crates/gw-dispatch/tests/retries_and_quarantine.rs
@@ -113,6 +113,50 @@
     }
 }
 
+struct RestartCase {
+    name: &'static str,
+    /// Seconds at which the process starts again.
+    restarts: &'static [u64],
+}
+
+/// Guards against processes that get the tokens of their retry budget again with each restart, beyond
+/// what is allowed in one window.
+#[test]
+fn restarts_do_not_renew_the_retry_budget() {
+    const MIN_RETRIES: f64 = 8.0;
+    const WINDOW: Duration = Duration::from_secs(10);
+    let cases = [
+        RestartCase { name: "no restart", restarts: &[] },
+        RestartCase { name: "one restart", restarts: &[24] },
+        RestartCase { name: "a restart each second", restarts: &[20, 21, 22, 23, 24, 25, 26] },
+    ];
+    for case in cases {
+        let start = |now| {
+            let mut budget = RetryBudget::without_tokens(0.2, now);
+            budget.set_min_retries(MIN_RETRIES);
+            budget
+        };
+        let mut budget = start(Timestamp::ZERO);
+        let mut retries: Vec<Timestamp> = Vec::new();
+        // The first retries come when the bucket is full.
+        for millis in (20_000..40_000).step_by(20) {
+            let now = Timestamp::from_millis(millis);
+            if millis % 1_000 == 0 && case.restarts.contains(&(millis / 1_000)) {
+                budget = start(now);
+            }
+            if budget.try_retry(now) {
+                retries.push(now);
+            }
+        }
+        let in_window = |from: &Timestamp| {
+            retries.iter().filter(|at| *from <= **at && at.since(*from) < WINDOW).count()
+        };
+        let most = retries.iter().map(in_window).max().unwrap_or(0);
+        assert!(most as f64 <= MIN_RETRIES, "{}: {most} retries in 10 s", case.name);
+        assert!(!retries.is_empty(), "{}: no retries", case.name);
+    }
+}
+
 /// Simulates a request that crashes every target, where each target runs two requests at a time.
 /// Returns the number of crashed targets and the number of other requests that are refused.
 /// `counts_in_full` injects a fault: each request in flight is treated as if it had been alone.
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -409,8 +409,9 @@
         let now = self.now();
         let host_count = self.sharing_hosts.get().peak();
         let mut retry_budgets = self.retry_budgets.borrow_mut();
-        let budget =
-            retry_budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(share, now));
+        let budget = retry_budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::without_tokens(share, now));
         // While the number of hosts is unknown, so is this host's part of the floor.
         budget.set_min_retries(host_count.map_or(0.0, |count| floor / f64::from(count)));
         act(budget)
