fix(gw-gateway): a connection between hosts lets others run while it writes a large frame

Hosts saw: pings and messages that wait until a complete state has been written. Cause: write_frames ran for as long as writes did not wait. A peer that reads as fast as fragments are encoded never makes one wait, so that neither the connection's own reading nor any other task of the host's thread ran meanwhile (1 MB here; states have up to 32 MB). Class: a loop over I/O that yields only when the I/O would block.

--- a/crates/gw-gateway/src/link/link_task.rs
+++ b/crates/gw-gateway/src/link/link_task.rs
@@ -47,6 +47,9 @@
 /// Bytes that the operating system takes for a connection beyond those on their way. More would
 /// delay small frames behind fragments of a large one: 130 ms on a link of 2 Mbit/s.
 const MAX_UNSENT_BYTES: u32 = 32 * 1024;
+/// Bytes after which a connection lets other tasks run, its own reading among them. A host that reads as
+/// fast as this one writes never makes a write wait.
+const MAX_WRITE_BURST: usize = 16 * 1024;
 /// Time without progress after which a connection is closed. A connection whose peer stopped
 /// responding shows no error. A complete state takes longer than this on a slow link, so any part of
 /// a frame counts, received or taken by the other host.
@@ -232,12 +235,22 @@
     frames: Rc<FrameQueue>,
     last_progress: Rc<Cell<Instant>>,
 ) {
+    // Bytes written since other tasks last had a chance to run.
+    let mut burst = 0;
     loop {
+        if burst >= MAX_WRITE_BURST {
+            burst = 0;
+            tokio::task::yield_now().await;
+        }
         let mut bytes = frames.next().await;
         while bytes.has_remaining() {
             match writer.try_write(&bytes) {
-                Ok(sent) if sent > 0 => bytes.advance(sent),
+                Ok(sent) if sent > 0 => {
+                    bytes.advance(sent);
+                    burst += sent;
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    burst = 0;
                     let Ok(Ok(())) = timeout(SILENCE_TIMEOUT, writer.writable()).await else {
                         return;
                     };
