fix(gw-ranges): keys leave a holder that announces itself and responds to no order

Callers: all keys of a service were refused for as long as the holder lived, though other targets were serving.

Cause: the planner takes keys only from holders that leave, end or fall silent. A holder that announces itself counts as serving, however many orders it leaves unanswered, and is granted the same range under a new token for ever. If the first announcement of a service is committed before the others (slow syncs make that likely), that one target gets all keys.

Change: the granter remembers holders whose orders fail three times in a row (eight times if they answer requests meanwhile: their grants take effect and only the responses are lost) and plans with them as with silent ones, if any other target could take the keys. They get no keys for 30 s after their last failed order, so that keys do not go back at once.

Result: `keys_leave_targets_that_respond_to_no_order` (virtual time) failed before: held until the end of the run, 29.975 s; now at most 12 s. All tests of gw-ranges pass, range_schedules among them.

--- a/crates/gw-gateway/src/control/target_monitor.rs
+++ b/crates/gw-gateway/src/control/target_monitor.rs
@@ -197,6 +197,7 @@
                 zone: target.zone.clone(),
                 status: self.status(now, state, target),
                 speed: self.speed(now, target, typical),
+                is_answering: self.is_answering(now, target),
             })
             .collect();
         let departed =
@@ -210,6 +211,7 @@
                 DepartureCause::Ended => HolderStatus::Ended,
             },
             speed: 1.0,
+            is_answering: false,
         }));
         candidates.sort_by(|a, b| a.holder.cmp(&b.holder));
         candidates.dedup_by(|later, earlier| later.holder == earlier.holder);
@@ -233,6 +235,12 @@
         }
     }
 
+    /// Whether the target has answered requests a short time ago.
+    fn is_answering(&self, now: Timestamp, target: &TargetRecord) -> bool {
+        let estimator = self.estimators.get(&target.holder());
+        estimator.is_some_and(|estimator| now.since(estimator.recorded_at()) < SILENCE_TIMEOUT)
+    }
+
     /// Returns the time in seconds that a target needs for one request, excluding queueing at the
     /// target.
     fn processing_time(&self, now: Timestamp, target: &TargetRecord) -> Option<f64> {
--- a/crates/gw-ranges/src/lib.rs
+++ b/crates/gw-ranges/src/lib.rs
@@ -12,6 +12,7 @@
 mod acceptance_estimator;
 mod decayed_counts;
 mod evacuation_pace;
+mod failing_holders;
 mod granter_options;
 mod holder_share;
 mod key_range;
--- a/crates/gw-ranges/src/processing_time_estimator.rs
+++ b/crates/gw-ranges/src/processing_time_estimator.rs
@@ -54,6 +54,11 @@
         self.estimate.filter(|_| self.recent_requests(now) >= MIN_REQUESTS)
     }
 
+    /// Returns when answered requests were last recorded.
+    pub fn recorded_at(&self) -> Timestamp {
+        self.updated_at
+    }
+
     /// Returns the number of recent requests, each weighted by its age.
     pub fn recent_requests(&self, now: Timestamp) -> f64 {
         self.requests * decay(now.since(self.updated_at), HALF_LIFE)
--- a/crates/gw-ranges/src/range_granter.rs
+++ b/crates/gw-ranges/src/range_granter.rs
@@ -16,6 +16,8 @@
 use crate::RangeTable;
 use crate::RangeTransfer;
 use crate::TargetOrder;
+use crate::failing_holders::FailingHolders;
+use crate::failing_holders::UNRESPONSIVE_FAILURES;
 use crate::plan_moves;
 use crate::range_lease::MoveStage;
 use crate::range_lease::RangeLease;
@@ -35,8 +37,6 @@
 /// Time in which a responsive holder resolves an uncertain grant: the commit of a new fencing token
 /// and one grant under it.
 const UNCERTAIN_GRANT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Consecutive failed orders after which a holder counts as unresponsive.
-const UNRESPONSIVE_FAILURES: u32 = 3;
 
 /// Handover token of a released range, kept until its next holder has received it.
 #[derive(Clone, Debug)]
@@ -72,6 +72,7 @@
     leases: Vec<RangeLease>,
     /// Handover tokens of released ranges that are not granted again yet.
     handovers: Vec<PendingHandover>,
+    failing: FailingHolders,
     next_number: u64,
     next_plan: Timestamp,
     /// Whether the granter has not seen the table yet.
@@ -90,6 +91,7 @@
             options,
             leases,
             handovers,
+            failing: FailingHolders::default(),
             next_number,
             next_plan: now,
             is_first_step: true,
@@ -441,6 +443,15 @@
                 _ => lease.next_order_at = now + retry,
             }
         }
+        match outcome {
+            OrderOutcome::Done { .. } | OrderOutcome::Refused => {
+                self.failing.remove(&order.holder);
+            }
+            OrderOutcome::Unanswered | OrderOutcome::NotSent => {
+                let failures = self.consecutive_failures(&order.holder);
+                self.failing.record(now, &order.holder, failures);
+            }
+        }
     }
 
     /// Returns whether a move should wait for an uncertain grant. The range cannot be reassigned
@@ -498,6 +509,7 @@
                 candidate.status = HolderStatus::Draining;
             }
         }
+        self.failing.mark_silent(now, &mut effective);
         let moves = plan_moves(table, &effective, counts, |assignment| {
             // The range of an uncertain grant could not be served until the grant has expired. A
             // range for which a new token is proposed will not have the present one any more.
--- a/crates/gw-ranges/src/range_holder.rs
+++ b/crates/gw-ranges/src/range_holder.rs
@@ -51,4 +51,7 @@
     pub status: HolderStatus,
     /// Processing speed relative to a target of average speed, which has 1. Above 0.
     pub speed: f64,
+    /// Whether it has answered requests a short time ago. One that does keeps its keys for longer
+    /// when it responds to no order.
+    pub is_answering: bool,
 }
--- a/crates/gw-ranges/tests/cold_holders.rs
+++ b/crates/gw-ranges/tests/cold_holders.rs
@@ -66,6 +66,7 @@
                 zone: ZoneName::new("a").expect("a name"),
                 status: case.targets[index].0,
                 speed: case.targets[index].1,
+                is_answering: false,
             })
             .collect();
         let mut counts = DecayedCounts::new(now);
--- a/crates/gw-ranges/tests/evacuation.rs
+++ b/crates/gw-ranges/tests/evacuation.rs
@@ -44,7 +44,7 @@
         (0..count)
             .map(|number| {
                 let (holder, zone) = (holder(zone, number), zone_name.clone());
-                RangeCandidate { holder, zone, status, speed: 1.0 }
+                RangeCandidate { holder, zone, status, speed: 1.0, is_answering: false }
             })
             .collect::<Vec<_>>()
     };
--- a/crates/gw-ranges/tests/hot_keys.rs
+++ b/crates/gw-ranges/tests/hot_keys.rs
@@ -25,6 +25,7 @@
         zone: ZoneName::new("a").expect("a valid name"),
         status: HolderStatus::Serving,
         speed,
+        is_answering: false,
     }
 }
 
--- a/crates/gw-ranges/tests/range_granter.rs
+++ b/crates/gw-ranges/tests/range_granter.rs
@@ -23,7 +23,13 @@
 fn candidate(name: &str, status: HolderStatus) -> RangeCandidate {
     let target = TargetName::new(name).expect("a valid name");
     let zone = ZoneName::new("a").expect("a valid name");
-    RangeCandidate { holder: RangeHolder { target, run: 1 }, zone, status, speed: 1.0 }
+    RangeCandidate {
+        holder: RangeHolder { target, run: 1 },
+        zone,
+        status,
+        speed: 1.0,
+        is_answering: false,
+    }
 }
 
 /// Delay until a proposal is committed.
--- a/crates/gw-ranges/tests/range_schedules.rs
+++ b/crates/gw-ranges/tests/range_schedules.rs
@@ -146,6 +146,7 @@
             zone: zone.clone(),
             status: status(target),
             speed: 1.0,
+            is_answering: false,
         })
         .collect()
     }
--- a/crates/gw-ranges/tests/unresponsive_targets.rs
+++ b/crates/gw-ranges/tests/unresponsive_targets.rs
@@ -36,12 +36,26 @@
 /// The earlier leader may have renewed a lease of 5 s up to 1 s before its loss, and the election
 /// takes up to 1 s.
 const MAX_FIRST_GRANT: Duration = Duration::from_secs(3);
+/// Three orders are given up, and then the last possible lease has to run out.
+const MAX_LOST_HOLD: Duration = Duration::from_secs(12);
 
 struct LossCase {
     name: &'static str,
     targets: usize,
     /// Each of so many targets does not respond; 0 if all do.
     every_lost: usize,
+    /// Whether the lost targets go on to announce themselves.
+    are_lost_heard: bool,
+}
+
+/// What is seen while a new leader grants the ranges.
+struct LossOutcome {
+    /// When each target first confirmed a grant.
+    first_grants: BTreeMap<RangeHolder, Duration>,
+    /// Longest time between two grants of a key that a healthy target held in the beginning.
+    longest_gap: Duration,
+    /// Last time at which a lost target was assigned a key; `None` if it held none in the end.
+    last_lost: Option<Duration>,
 }
 
 fn holder(index: usize) -> RangeHolder {
@@ -49,9 +63,8 @@
     RangeHolder { target, run: 1 }
 }
 
-/// Returns when each target first confirmed a grant, and the longest time between two grants of a key
-/// that a healthy target held in the beginning.
-fn run_new_leader(case: &LossCase) -> (BTreeMap<RangeHolder, Duration>, Duration) {
+/// Runs a new leader for `steps` steps of [`STEP`].
+fn run_new_leader(case: &LossCase, steps: u32) -> LossOutcome {
     let start = Timestamp::from_millis(10_000);
     let is_lost = |index: usize| case.every_lost > 0 && index.is_multiple_of(case.every_lost);
     let lost: Vec<RangeHolder> =
@@ -78,7 +91,8 @@
         .map(|index| ((index * width) as u16, start))
         .collect();
     let mut longest_gap = Duration::ZERO;
-    for step in 0..400_u32 {
+    let mut last_lost = None;
+    for step in 0..steps {
         let now = start + STEP * step;
         for (_, command) in proposed.extract_if(.., |(at, _)| now.since(*at) >= COMMIT_TIME) {
             last_fence += 1;
@@ -112,12 +126,19 @@
                 holder: holder(index),
                 zone: ZoneName::new("a").expect("a valid name"),
                 status: match is_lost(index) && now.since(start) > SILENCE_TIME {
-                    true => HolderStatus::Silent,
-                    false => HolderStatus::Serving,
+                    true if !case.are_lost_heard => HolderStatus::Silent,
+                    _ => HolderStatus::Serving,
                 },
                 speed: 1.0,
+                is_answering: !is_lost(index),
             })
             .collect();
+        let is_lost_holder = |owner: &Option<RangeHolder>| {
+            owner.as_ref().is_some_and(|holder| lost.contains(holder))
+        };
+        if table.assignments().iter().any(|part| is_lost_holder(&part.holder)) {
+            last_lost = Some(now.since(start));
+        }
         let room = MAX_ORDERS.saturating_sub(granter.orders_in_flight(now));
         for action in granter.step(now, &table, &candidates, &counts, room) {
             match action {
@@ -130,7 +151,11 @@
             }
         }
     }
-    (first_grants, longest_gap)
+    LossOutcome { first_grants, longest_gap, last_lost }
+}
+
+fn loss_case(name: &'static str, targets: usize, every_lost: usize) -> LossCase {
+    LossCase { name, targets, every_lost, are_lost_heard: false }
 }
 
 /// Guards against leases of healthy targets that run out because orders to lost targets occupy all
@@ -138,14 +163,14 @@
 #[test]
 fn lost_targets_do_not_hold_up_the_others() {
     let cases = [
-        LossCase { name: "none lost", targets: 547, every_lost: 0 },
-        LossCase { name: "a twelfth lost", targets: 547, every_lost: 12 },
-        LossCase { name: "a zone of five lost", targets: 547, every_lost: 5 },
-        LossCase { name: "a third of a small fleet lost", targets: 24, every_lost: 3 },
+        loss_case("none lost", 547, 0),
+        loss_case("a twelfth lost", 547, 12),
+        loss_case("a zone of five lost", 547, 5),
+        loss_case("a third of a small fleet lost", 24, 3),
     ];
     let lease_duration = GranterOptions::default().lease_duration;
     for case in cases {
-        let (first_grants, longest_gap) = run_new_leader(&case);
+        let LossOutcome { first_grants, longest_gap, .. } = run_new_leader(&case, 400);
         let lost = if case.every_lost > 0 { case.targets.div_ceil(case.every_lost) } else { 0 };
         assert_eq!(first_grants.len(), case.targets - lost, "{}", case.name);
         let last = first_grants.values().max().copied().unwrap_or_default();
@@ -153,3 +178,21 @@
         assert!(longest_gap < lease_duration, "{}: {longest_gap:?} between grants", case.name);
     }
 }
+
+/// Guards against keys that nobody serves as long as their holder announces itself, though it
+/// responds to no order, and against keys that go back to such a holder.
+#[test]
+fn keys_leave_targets_that_respond_to_no_order() {
+    let cases = [
+        loss_case("one of thirty", 30, 30),
+        loss_case("a third of a small fleet", 24, 3),
+        loss_case("half of two", 2, 2),
+    ];
+    for case in cases {
+        let case = LossCase { are_lost_heard: true, ..case };
+        let LossOutcome { longest_gap, last_lost, .. } = run_new_leader(&case, 1_200);
+        let lost_until = last_lost.unwrap_or_default();
+        assert!(lost_until <= MAX_LOST_HOLD, "{}: held until {lost_until:?}", case.name);
+        assert!(longest_gap < GranterOptions::default().lease_duration, "{}", case.name);
+    }
+}
