fix(gw-gateway): limits for cold targets arrive before the configuration that changes them

Callers: after a change of the configuration that ends the limits of a service, its requests were still refused for up to a tick (25 ms) with "target_cold", though the change was acknowledged and in force at the entry host.

Cause: entry hosts have no document of the configuration; the limits reach them by a message of their own, which control hosts sent with their next tick, while the change itself is pushed as it is applied.

Change: a control host that applies a change of the limits sends them at once, before the change on the same connection.

--- a/crates/gw-gateway/src/control/cold_targets.rs
+++ b/crates/gw-gateway/src/control/cold_targets.rs
@@ -61,21 +61,34 @@
         *self.cold.borrow_mut() = ColdDuty::new(self.now(), &self.settings.borrow());
     }
 
-    /// Reads the limits for cold targets from the configuration in force if it has changed.
-    pub(crate) fn update_warm_up_limits(&self) {
+    /// Reads the limits for cold targets from the configuration in force if it has changed. Returns
+    /// whether the limits have changed.
+    pub(crate) fn update_warm_up_limits(&self) -> bool {
         let log = self.log.borrow();
         let version = log.state().config_version();
         let mut duty = self.cold.borrow_mut();
         if duty.config == Some(version) {
-            return;
+            return false;
         }
         duty.config = Some(version);
         let document = log.state().stored_config().map(|config| &config.document[..]);
         let limits = document.map(|document| self.adapter.read_warm_up_limits(document));
+        let limits = limits.unwrap_or_default();
         let warmth = &mut self.monitor.borrow_mut().warmth;
-        warmth.set_limits(limits.unwrap_or_default());
+        let is_changed = warmth.limits() != limits;
+        warmth.set_limits(limits);
         // The leader does not know what was heard here before there were limits.
         duty.unsent = warmth.statements();
+        is_changed
+    }
+
+    /// Tells entry hosts at once if the limits for cold targets have changed. They receive the limits
+    /// before the configuration, so that none refuses requests by limits that it has replaced.
+    pub(crate) fn push_warm_up_limits(&self) {
+        if self.update_warm_up_limits() {
+            self.cold.borrow_mut().is_urgent = true;
+            send_cold_targets(self, false);
+        }
     }
 
     /// Records for how long a run said, `age` ago, that it stays cold. Forwards it to the leader if
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -95,6 +95,7 @@
         }
         self.update_leadership();
         self.complete_reads();
+        self.push_warm_up_limits();
         self.push_updates();
     }
 
