fix(gw-balance): hosts without a path are spread over the relays of their zone

Cause: a host was given the relays that follow it in the sorted list of hosts that reach targets. If many hosts have lost their path they are not in the list, lie side by side and get the same three. Hosts that are not listed now start at a place given by the hash of their name.

Result: `relays_are_spread_over_the_hosts_that_reach_targets` with a new case (24 of 30 hosts lost) failed before: 24 hosts at one relay, 16 allowed, 12 on average.

--- a/crates/gw-balance/src/relay_table.rs
+++ b/crates/gw-balance/src/relay_table.rs
@@ -45,7 +45,9 @@
         let own = &self.hosts[start..end];
         let next = own.partition_point(|relay| relay.host < *host);
         let is_listed = own.get(next).is_some_and(|relay| relay.host == *host);
-        let first = next + usize::from(is_listed);
+        // Hosts that are not listed lie side by side, so their neighbours would get them all.
+        let hash = KeyHash::of(host.as_str().as_bytes()).0 as usize;
+        let first = if is_listed { next + 1 } else { hash % own.len().max(1) };
         let own_count = OWN_ZONE_RELAYS.min(own.len() - usize::from(is_listed));
         let own_zone = (first..).take(own_count).map(|turn| &own[turn % own.len()]);
         let other = |position: usize| {
@@ -54,7 +56,6 @@
         let other_len = self.hosts.len() - own.len();
         // Wide steps through the list reach several zones.
         let step = (other_len / OTHER_ZONE_RELAYS).max(1);
-        let hash = KeyHash::of(host.as_str().as_bytes()).0 as usize;
         let others = (0..OTHER_ZONE_RELAYS.min(other_len))
             .map(|turn| other((hash % other_len + turn * step) % other_len));
         own_zone.chain(others).cloned().collect()
--- a/crates/gw-balance/tests/lost_path.rs
+++ b/crates/gw-balance/tests/lost_path.rs
@@ -156,6 +156,7 @@
         SpreadCase { zones: 3, hosts_per_zone: 3, lost: 2, max_clients: 2 },
         SpreadCase { zones: 3, hosts_per_zone: 3, lost: 3, max_clients: 3 },
         SpreadCase { zones: 5, hosts_per_zone: 57, lost: 57, max_clients: 6 },
+        SpreadCase { zones: 1, hosts_per_zone: 30, lost: 24, max_clients: 16 },
     ];
     for SpreadCase { zones, hosts_per_zone, lost, max_clients } in cases {
         let all: Vec<RelayHost> = (0..zones)
