fix(gw-balance, gw-gateway): relays refuse at once what their links do not carry

When a burst exceeds what their links of 2 Mbit/s carry, a queue grows there (new connections take 100, 200, then over 350 ms within a second). Connections are given up, from 23.1 s on the relays take their own path for lost, refuse what is relayed and relay their own requests through the relays that are left. The hosts without a path try three relays for each request and send up to 8,000 a second, so that the queue never ends.

Change: - `RelayLimit`: a host that relays bounds the requests in flight by the time that its new connections take on average (200 ms), for its own callers too, since callers are to be served alike. What is above is refused at once: 503, Retry-After 1 s, "relay_busy". - `RelayPool`: a window of requests in flight for each relay, which grows with answers; a busy relay is avoided for 0.5 to 2 s, and at most two busy ones are asked for a request. If none has room, the request is refused without asking.

--- a/crates/gw-balance/tests/lost_path.rs
+++ b/crates/gw-balance/tests/lost_path.rs
@@ -191,8 +191,9 @@
     chosen.sort();
     assert_eq!(chosen, [address(1), address(1), address(2), address(2)]);
     assert_eq!(pool.choose(at(0), &[address(1)]), Some(address(2)));
-    pool.avoid(at(0), address(1));
-    pool.avoid(at(0), address(2));
+    [1, 1, 2, 2, 2].map(address).into_iter().for_each(|relay| pool.leave(relay));
+    pool.record_failed(at(0), address(1));
+    pool.record_failed(at(0), address(2));
     assert_eq!(pool.choose(at(999), &[]), Some(address(3)));
     assert_eq!(pool.choose(at(999), &[address(3)]), None);
     // A relay that stays in the list stays avoided.
@@ -200,3 +201,33 @@
     assert_eq!(pool.choose(at(999), &[]), Some(address(3)));
     assert_eq!(pool.choose(at(1_000), &[]), Some(address(1)));
 }
+
+/// Guards against refusals of busy relays that fill their links, and against relays that stay unused
+/// once they take requests again.
+#[test]
+fn busy_relays_are_asked_less_often() {
+    let mut pool = RelayPool::default();
+    pool.update([RelayPeer { address: address(1), is_same_zone: true }]);
+    let mut asked = Vec::new();
+    for millis in 0..10_000 {
+        let now = at(millis);
+        let is_busy = millis < 5_000;
+        while pool.choose(now, &[]).is_some() {
+            asked.push(millis);
+            match is_busy {
+                true => pool.record_busy(now, address(1)),
+                false => pool.record_taken(address(1)),
+            }
+            pool.leave(address(1));
+            if !is_busy {
+                break;
+            }
+        }
+    }
+    let while_busy = asked.iter().filter(|millis| **millis < 5_000).count();
+    assert!(while_busy <= 5, "{while_busy} requests in 5 s");
+    assert!(asked.len() > 2_500, "{} requests", asked.len());
+    pool.record_slow(address(1));
+    let in_flight = std::iter::from_fn(|| pool.choose(at(10_000), &[])).count();
+    assert_eq!(in_flight, 32, "half of the largest window");
+}
--- a/crates/gw-gateway/src/entry/mod.rs
+++ b/crates/gw-gateway/src/entry/mod.rs
@@ -14,6 +14,8 @@
 mod relay_attempt;
 mod relay_headers;
 mod relay_hosts;
+mod relay_slot;
+mod relay_turn;
 mod relayed_order;
 mod request_handler;
 mod run_entry;
--- a/crates/gw-gateway/src/entry/relay_attempt.rs
+++ b/crates/gw-gateway/src/entry/relay_attempt.rs
@@ -15,9 +15,11 @@
 use crate::entry::forwarded_stream::ForwardedStream;
 use crate::entry::read_request::ReadRequest;
 use crate::entry::relay_headers::PATH_LOST;
+use crate::entry::relay_headers::RELAY_BUSY;
 use crate::entry::relay_headers::RelayRefusal;
 use crate::entry::relay_headers::RelayTerms;
 use crate::entry::relay_headers::TARGET_UNREACHABLE;
+use crate::entry::relay_turn::RelayTurn;
 use crate::entry::target_attempt::MAX_WHOLE_BYTES;
 use crate::entry::target_attempt::build_response;
 use crate::entry::target_attempt::copy_request;
@@ -32,11 +34,16 @@
 
 /// Number of relays through which a request is sent, as long as none of them can execute it.
 const MAX_RELAYS: usize = 3;
+/// The same while relays are busy: further tries would fill their links.
+const MAX_BUSY_RELAYS: usize = 2;
 /// Part of the remaining time that is kept for the reply of a relay: a round trip to another zone and
 /// the wait at two busy hosts. A relay that states at its own deadline that the request was not
 /// executed would otherwise do so too late, and the outcome would be unknown.
 const RELAY_RETURN_MARGIN: Duration = Duration::from_millis(60);
 
+/// `Retry-After` when no relay takes a request: about the time for which they are avoided.
+const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Outcome of sending a request through other entry hosts.
 pub(crate) enum RelayOutcome {
     /// The response of a target.
@@ -58,12 +65,19 @@
     let mut tried = Vec::new();
     let mut last = None;
     while tried.len() < MAX_RELAYS {
-        let Some(address) = host.relays.choose(host.now(), &tried) else { break };
-        tried.push(address);
-        let outcome = relay_through(host, request, attempts, address, slot).await;
+        let Some(turn) = host.relays.choose(host.now(), &tried) else {
+            if tried.is_empty() && host.relays.is_any_known() {
+                return Some(refused(RELAY_BUSY, BUSY_RETRY_AFTER));
+            }
+            break;
+        };
+        tried.push(turn.address());
+        let outcome = relay_through(host, request, attempts, &turn, slot).await;
         let RelayOutcome::Refused { reason, .. } = &outcome else { return Some(outcome) };
-        let may_other_reach = reason == PATH_LOST || reason == TARGET_UNREACHABLE;
-        if !may_other_reach {
+        if ![PATH_LOST, TARGET_UNREACHABLE, RELAY_BUSY].contains(&reason.as_str()) {
+            return Some(outcome);
+        }
+        if reason == RELAY_BUSY && tried.len() >= MAX_BUSY_RELAYS {
             return Some(outcome);
         }
         last = Some(outcome);
@@ -75,9 +89,10 @@
     host: &Rc<EntryHost>,
     request: &ReadRequest,
     attempts: u32,
-    address: SocketAddr,
+    turn: &RelayTurn,
     slot: &mut Option<TransferSlot>,
 ) -> RelayOutcome {
+    let address = turn.address();
     let deadline = request.params.deadline;
     let remaining = deadline.saturating_duration_since(Instant::now());
     if remaining.is_zero() {
@@ -90,13 +105,13 @@
     let end = host.relays.connections().exchange(address, outgoing, &options, || true).await;
     match end {
         ExchangeOutcome::Replied(TargetReply { head, body, elapsed, .. }) => {
-            match read_reply(host, request, address, &head, elapsed) {
+            match read_reply(host, request, turn, &head, elapsed) {
                 Ok(()) => respond(head, ResponseBody::Whole(body)),
                 Err(outcome) => outcome,
             }
         }
         ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed, .. }) => {
-            match read_reply(host, request, address, &head, elapsed) {
+            match read_reply(host, request, turn, &head, elapsed) {
                 Ok(()) => {
                     let outcome = AttemptOutcome::Cancelled;
                     let stream =
@@ -110,7 +125,7 @@
         }
         ExchangeOutcome::NotSent(cause) => {
             log_relay(request, address, "not_sent", &cause);
-            host.relays.avoid(host.now(), address);
+            turn.record_failed(host.now());
             refused(TARGET_UNREACHABLE, MOVE_RETRY_AFTER)
         }
         ExchangeOutcome::Broken { cause, .. } => {
@@ -119,6 +134,7 @@
         }
         ExchangeOutcome::TimedOut => {
             log_relay(request, address, "timed_out", "no answer until the deadline");
+            turn.record_slow();
             unknown(StatusCode::GATEWAY_TIMEOUT, "no_answer")
         }
     }
@@ -128,20 +144,24 @@
 fn read_reply(
     host: &EntryHost,
     request: &ReadRequest,
-    address: SocketAddr,
+    turn: &RelayTurn,
     head: &response::Parts,
     elapsed: Duration,
 ) -> Result<(), RelayOutcome> {
+    let address = turn.address();
     if let Some(refusal) = RelayRefusal::read(&head.headers) {
         log_relay(request, address, "refused", &refusal.reason);
-        if refusal.reason == PATH_LOST {
-            host.relays.avoid(host.now(), address);
+        match refusal.reason.as_str() {
+            PATH_LOST => turn.record_failed(host.now()),
+            RELAY_BUSY => turn.record_busy(host.now()),
+            _ => turn.record_taken(),
         }
         return Err(match refusal.is_not_run {
             true => refused(&refusal.reason, refusal.retry_after.unwrap_or(MOVE_RETRY_AFTER)),
             false => unknown(head.status, "relay_unknown"),
         });
     }
+    turn.record_taken();
     let request_id = host.adapter.read_response_metadata(head).request_id;
     if request.metadata.request_id.is_some() && request_id != request.metadata.request_id {
         log_relay(request, address, "foreign_answer", head.status.as_str());
--- a/crates/gw-gateway/src/entry/relay_headers.rs
+++ b/crates/gw-gateway/src/entry/relay_headers.rs
@@ -27,6 +27,9 @@
 /// Reason of a host that could not establish a connection to the target.
 pub(crate) const TARGET_UNREACHABLE: &str = "target_unreachable";
 
+/// Reason of a relay that has as many requests of other hosts in flight as its link carries.
+pub(crate) const RELAY_BUSY: &str = "relay_busy";
+
 /// Terms of a request that another entry host sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct RelayTerms {
--- a/crates/gw-gateway/src/entry/relay_hosts.rs
+++ b/crates/gw-gateway/src/entry/relay_hosts.rs
@@ -6,18 +6,19 @@
 use gw_balance::RelayPool;
 use gw_types::Timestamp;
 
+use crate::entry::relay_turn::RelayTurn;
 use crate::ports::TargetDialer;
 use crate::targets::TargetConnections;
 
 /// Other entry hosts that forward requests for this host, and the connections to them.
 pub(crate) struct RelayHosts {
     connections: TargetConnections,
-    pool: RefCell<RelayPool>,
+    pool: Rc<RefCell<RelayPool>>,
 }
 
 impl RelayHosts {
     pub(crate) fn new(dialer: Rc<dyn TargetDialer>) -> Self {
-        Self { connections: TargetConnections::new(dialer), pool: RefCell::default() }
+        Self { connections: TargetConnections::new(dialer), pool: Rc::default() }
     }
 
     pub(crate) fn connections(&self) -> &TargetConnections {
@@ -31,13 +32,14 @@
         }
     }
 
-    /// Returns the relay for the next request, other than those in `tried`.
-    pub(crate) fn choose(&self, now: Timestamp, tried: &[SocketAddr]) -> Option<SocketAddr> {
-        self.pool.borrow_mut().choose(now, tried)
+    /// Whether there are relays, also if none of them takes a request at present.
+    pub(crate) fn is_any_known(&self) -> bool {
+        !self.pool.borrow().is_empty()
     }
 
-    /// Records that a relay could not be reached or cannot reach targets.
-    pub(crate) fn avoid(&self, now: Timestamp, address: SocketAddr) {
-        self.pool.borrow_mut().avoid(now, address);
+    /// Returns the relay for the next request, other than those in `tried`.
+    pub(crate) fn choose(&self, now: Timestamp, tried: &[SocketAddr]) -> Option<RelayTurn> {
+        let address = self.pool.borrow_mut().choose(now, tried)?;
+        Some(RelayTurn::new(self.pool.clone(), address))
     }
 }
--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -35,8 +35,10 @@
 use crate::entry::relay_attempt::RelayOutcome;
 use crate::entry::relay_attempt::relay;
 use crate::entry::relay_headers::PATH_LOST;
+use crate::entry::relay_headers::RELAY_BUSY;
 use crate::entry::relay_headers::RelayRefusal;
 use crate::entry::relay_headers::TARGET_UNREACHABLE;
+use crate::entry::relay_slot::RelaySlot;
 use crate::entry::target_attempt::ForwardOutcome;
 use crate::entry::target_attempt::attempt;
 use crate::entry::transfer_gate::TransferSlot;
@@ -51,6 +53,9 @@
 /// `Retry-After` when the holder of the key is overloaded: keys move to other targets within one to
 /// two seconds.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `Retry-After` of a host that relays for others and has a full link: new connections show within that
+/// time whether it still is.
+const RELAY_BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` for a request that crashes targets: the time until the targets are back.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
 /// `Retry-After` when the memory for bodies is used up: about the time in which senders without
@@ -214,6 +219,10 @@
         // The host that received the request from the caller counts it.
         host.record_request(&params.service, params.key);
     }
+    let Some(_relay_slot) = RelaySlot::enter(&host.connections, request.origin) else {
+        let refusal = LocalReply::not_executed(RELAY_BUSY, RELAY_BUSY_RETRY_AFTER);
+        return refuse(host, request, refusal);
+    };
     if !is_within_holder_share(host, params) {
         return refuse(
             host,
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -7,6 +7,7 @@
 
 use bytes::BytesMut;
 use gw_balance::PathMonitor;
+use gw_balance::RelayLimit;
 use gw_daemon::BootClock;
 use gw_types::Clock;
 use http::Request;
@@ -118,12 +119,14 @@
     ahead: Rc<RefCell<Vec<IdleConnection>>>,
     opened: Rc<Cell<u64>>,
     path: Rc<RefCell<PathMonitor>>,
+    relay_limit: Rc<RefCell<RelayLimit>>,
 }
 
 impl TargetConnections {
     pub(crate) fn new(dialer: Rc<dyn TargetDialer>) -> Self {
         let (idle, ahead) = (Rc::default(), Rc::default());
-        Self { dialer, idle, ahead, opened: Rc::default(), path: Rc::default() }
+        let (opened, path, relay_limit) = (Rc::default(), Rc::default(), Rc::default());
+        Self { dialer, idle, ahead, opened, path, relay_limit }
     }
 
     /// Returns what the exchanges say about this host's path to targets.
@@ -131,6 +134,11 @@
         self.path.borrow_mut()
     }
 
+    /// Returns the limit on requests of other hosts, which follows from the time that connections take.
+    pub(crate) fn relay_limit(&self) -> RefMut<'_, RelayLimit> {
+        self.relay_limit.borrow_mut()
+    }
+
     /// Whether a connection to `address` can be opened. The connection is kept for requests.
     pub(crate) async fn probe(&self, address: SocketAddr) -> bool {
         match self.connect(address, Instant::now() + CONNECT_TIMEOUT).await {
@@ -188,7 +196,8 @@
         address: SocketAddr,
         deadline: Instant,
     ) -> Result<TargetConnection, String> {
-        let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let started = Instant::now();
+        let until = deadline.min(started + CONNECT_TIMEOUT);
         let connected = match timeout_at(until, self.dialer.dial(address)).await {
             Ok(connected) => connected.map_err(|error| error.to_string()),
             Err(_) => Err("no connection in time".to_owned()),
@@ -197,6 +206,7 @@
             self.path.borrow_mut().record_unreachable(BootClock.now(), address);
         })?;
         self.path.borrow_mut().record_connected();
+        self.record_connect_time(started.elapsed());
         let configured = set_socket_options(&stream)
             .and_then(|()| set_buffer_sizes(&stream, SOCKET_BUFFER_BYTES))
             .and_then(|()| reset_on_close(&stream));
@@ -212,6 +222,14 @@
         Ok(TargetConnection { sender, driver })
     }
 
+    fn record_connect_time(&self, elapsed: Duration) {
+        let mut relay_limit = self.relay_limit.borrow_mut();
+        if relay_limit.record_connect(BootClock.now(), elapsed) {
+            let (limit, millis) = (relay_limit.limit(), elapsed.as_millis());
+            log::info!("event=relays_limited limit={limit} connect_ms={millis}");
+        }
+    }
+
     /// Sends a request and waits for the response; a large response may still be arriving then.
     /// `may_send` is evaluated right before the request is handed to the connection; if it returns
     /// `false`, nothing is sent.
