fix(gw-balance): hosts share a holder of keys before they know their number

Hosts that restart without a leader each used the whole limit, and a new leader that had heard few hosts raised it.

Change: `HostCount::divisor`, the peak of 10 s or 16 until a number is known, is used for the limits that targets name and now for holders too. The constant moves with it.

Result: `hosts_share_a_holder_before_their_number_is_known` failed before (6 requests of one host where 1 is its part); now 1. Tests of gw-balance and gw-gateway pass.

--- a/crates/gw-balance/src/target_pool.rs
+++ b/crates/gw-balance/src/target_pool.rs
@@ -13,6 +13,7 @@
 use crate::AttemptOutcome;
 use crate::ColdList;
 use crate::EvacuatedZones;
+use crate::HostCount;
 use crate::LimitTable;
 use crate::LoadUses;
 use crate::PreferredTargets;
@@ -74,7 +75,7 @@
     host: HostName,
     zone: ZoneName,
     preferred: PreferredTargets,
-    /// Number of entry hosts in all zones.
+    /// Number of entry hosts among which the limits of holders are divided. Above 0.
     host_count: u32,
     /// Uses of the loads that targets state.
     load_uses: LoadUses,
@@ -97,7 +98,7 @@
             host,
             zone,
             preferred: PreferredTargets::default(),
-            host_count: 1,
+            host_count: HostCount::default().divisor(),
             load_uses: LoadUses::default(),
             state_index: 0,
             unix_ms: 0,
@@ -112,9 +113,9 @@
         self.load_uses = uses;
     }
 
-    /// Sets the number of entry hosts in all zones.
+    /// Sets the number of entry hosts among which the limits of holders are divided.
     pub fn set_host_count(&mut self, count: usize) {
-        self.host_count = u32::try_from(count).unwrap_or(u32::MAX);
+        self.host_count = u32::try_from(count).unwrap_or(u32::MAX).max(1);
     }
 
     /// Sets the log index of the state that the next update of the targets comes from, and this host's
@@ -325,7 +326,7 @@
     /// the holder, and together they should not exceed its slots and its queue.
     fn holder_limit(&self, target: &TargetView) -> u32 {
         let capacity = u32::from(target.record.work_slots) + MIN_TARGET_QUEUE;
-        (capacity / self.host_count.max(1)).max(1)
+        (capacity / self.host_count).max(1)
     }
 
     /// Returns how many requests this host may have in flight at the available targets of
--- a/crates/gw-balance/tests/target_pool.rs
+++ b/crates/gw-balance/tests/target_pool.rs
@@ -49,6 +49,22 @@
     AttemptOutcome::Answered { elapsed: Duration::from_millis(milliseconds), is_failure: false }
 }
 
+/// Guards against hosts that restart without a leader and send, each by itself, as many requests to a
+/// holder of keys as it takes from all of them.
+#[test]
+fn hosts_share_a_holder_before_their_number_is_known() {
+    let records = [record("t1", "a")];
+    let mut pool = TargetPool::new(host("h1"), ZoneName::new("a").expect("a valid name"));
+    pool.update(NOW, &records, &PreferredTargets::default());
+    let holder = records[0].holder();
+    let mut started = 0;
+    while pool.holder_availability(NOW, &holder) == HolderAvailability::Available {
+        pool.record_start(NOW, &holder);
+        started += 1;
+    }
+    assert_eq!(started, 1, "requests in flight of one host");
+}
+
 struct OutcomeCase {
     name: &'static str,
     outcomes: Vec<AttemptOutcome>,
--- a/crates/gw-gateway/src/entry/entry_host.rs
+++ b/crates/gw-gateway/src/entry/entry_host.rs
@@ -55,8 +55,6 @@
 /// Fraction of its part of the global retry budget that this host uses. The remainder allows for
 /// requests that other hosts count in a different window.
 const RETRY_BUDGET_SHARE: f64 = 0.8;
-/// Number of hosts among which limits are divided until the leader has reported one.
-const UNKNOWN_HOST_COUNT: u32 = 16;
 /// Fraction of the process's memory for requests and responses. The largest body of the usual
 /// configuration (64 MiB) fits on hosts of 120 MB; an idle host uses 5 to 10 MB.
 const MEMORY_SHARE: f64 = 0.625;
@@ -370,11 +368,12 @@
 
     /// Records the number of entry hosts in all zones, as reported by the leader.
     pub(crate) fn record_host_count(&self, count: usize) {
-        self.pool.borrow_mut().set_host_count(count);
         let mut sharing_hosts = self.sharing_hosts.get();
         let before = sharing_hosts.peak();
         sharing_hosts.record(self.now(), u32::try_from(count).unwrap_or(u32::MAX));
         self.sharing_hosts.set(sharing_hosts);
+        let divisor = usize::try_from(sharing_hosts.divisor()).unwrap_or(usize::MAX);
+        self.pool.borrow_mut().set_host_count(divisor);
         let peak = sharing_hosts.peak();
         if peak != before {
             log::info!("event=host_count hosts={} was={}", peak.unwrap_or(0), before.unwrap_or(0));
@@ -389,7 +388,7 @@
         for table in [&self.named_limits, &self.limits] {
             table.borrow_mut().expire(now, |holder| pool.live_target(holder).is_some());
         }
-        let host_count = self.sharing_hosts.get().peak().unwrap_or(UNKNOWN_HOST_COUNT);
+        let host_count = self.sharing_hosts.get().divisor();
         pool.set_limits(now, &self.limits.borrow(), host_count);
         drop(pool);
         self.admission_wakeup.notify_one();
