fix(gw-balance): a relay that has answered nothing yet may have 32 requests in flight

It now starts at 32; a busy or failing relay still brings it down at once. The test passes, and so do lost_path, relay_limit and unreachable_targets.

--- a/crates/gw-balance/src/relay_pool.rs
+++ b/crates/gw-balance/src/relay_pool.rs
@@ -12,7 +12,7 @@
 /// Largest number of doublings of [`BUSY_TIME`].
 const MAX_DOUBLINGS: u32 = 2;
 /// Requests that a relay may have in flight before it has answered any.
-const FIRST_WINDOW: usize = 4;
+const FIRST_WINDOW: usize = 32;
 /// Largest number of requests in flight at a relay.
 const MAX_WINDOW: usize = 64;
 
