fix(gw-gateway): a host with a path tries by itself when no relay has room

Found by reading the change. A host whose path is intact relays a request only if one target could not be reached. Since such a request was refused as relay_busy when all relays were avoided; before, the host went on with other targets by itself. It does so again; only a host without a path refuses.

No test shows the fault.

--- a/crates/gw-gateway/src/entry/relay_attempt.rs
+++ b/crates/gw-gateway/src/entry/relay_attempt.rs
@@ -55,7 +55,8 @@
 }
 
 /// Sends a request through another entry host, which admits it and sends it to a target. `None` if
-/// no relay is known. It may be sent to `attempts` targets. A large response takes `slot` with it.
+/// no relay is known, or if none has room and this host can still try by itself. It may be sent to
+/// `attempts` targets. A large response takes `slot` with it.
 pub(crate) async fn relay(
     host: &Rc<EntryHost>,
     request: &ReadRequest,
@@ -66,7 +67,8 @@
     let mut last = None;
     while tried.len() < MAX_RELAYS {
         let Some(turn) = host.relays.choose(host.now(), &tried) else {
-            if tried.is_empty() && host.relays.is_any_known() {
+            let is_lost = host.connections.path().is_lost();
+            if tried.is_empty() && is_lost && host.relays.is_any_known() {
                 return Some(refused(RELAY_BUSY, BUSY_RETRY_AFTER));
             }
             break;
