--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -134,7 +134,8 @@
         self.path.borrow_mut()
     }
 
-    /// Returns the limit on requests of other hosts, which follows from the time that connections take.
+    /// Returns the limit on requests in flight while this host relays, which follows from the time that
+    /// connections take.
     pub(crate) fn relay_limit(&self) -> RefMut<'_, RelayLimit> {
         self.relay_limit.borrow_mut()
     }
