--- a/crates/gw-gateway/src/entry/request_handler.rs
+++ b/crates/gw-gateway/src/entry/request_handler.rs
@@ -264,7 +264,7 @@
         }
         if may_relay && (is_unreachable || host.lacks_path(params)) {
             may_relay = false;
-            if reached > 0 && !host.try_retry(&params.service) {
+            if reached > 0 && !may_retry(host, request) {
                 let refusal = LocalReply::not_executed("retry_budget", REFUSAL_RETRY_AFTER);
                 return refuse(host, request, last.unwrap_or(refusal));
             }
@@ -286,7 +286,7 @@
         if !host.may_send(params) {
             continue;
         }
-        if reached > 0 && !host.try_retry(&params.service) {
+        if reached > 0 && !may_retry(host, request) {
             let refusal = LocalReply::not_executed("retry_budget", REFUSAL_RETRY_AFTER);
             return refuse(host, request, last.unwrap_or(refusal));
         }
@@ -433,6 +433,21 @@
     host.throttle.borrow_mut().admit(holder, is_urgent)
 }
 
+/// Whether the service's budget has a retry left, which is taken.
+fn may_retry(host: &EntryHost, request: &ReadRequest) -> bool {
+    let may_retry = host.try_retry(&request.params.service);
+    if !may_retry {
+        // The caller gets the outcome of the last attempt, which does not tell of the budget.
+        log::info!(
+            "event=retry_denied id={} number={} service={} cause=retry_budget",
+            request.id(),
+            request.number,
+            request.params.service,
+        );
+    }
+    may_retry
+}
+
 fn refuse(
     host: &EntryHost,
     request: &ReadRequest,
