fix(gw-balance, gw-gateway): a report costs what it names, not a step for each cold target

Cause, second part, of the leaders that change at 300 hosts and 3,000 targets: the leader looked at all targets for each report of an entry host (a thousand a second) and kept a demand of each host for each cold target. Times of the control loop on the scratch site: 64 events took 60 to 200 ms.

Change: the demand of a report is looked up by the keys that it names; what a host named before and no longer names is set to 0. Comparisons of each cold run with each cold target, and of each demand with each host, are binary searches.

Measured: the test counts the demands that are kept: 600 of 300 hosts that name two holders; the code before kept one for each host and cold holder, 600,000 there (by reading; its API had no count).

--- a/crates/gw-balance/src/cold_allocator.rs
+++ b/crates/gw-balance/src/cold_allocator.rs
@@ -94,12 +94,15 @@
     quiet_until: Timestamp,
     /// Sorted by holder.
     runs: Vec<RunAllocation>,
+    /// Holders that each host named in its last report, sorted by host.
+    named: Vec<(HostName, Vec<RangeHolder>)>,
 }
 
 impl ColdAllocator {
     /// Creates the allocator of a leader that starts at `now`.
     pub fn new(now: Timestamp, bound: ColdBound) -> Self {
-        Self { bound, quiet_until: now + COLD_LEASE_TIME + EXPIRY_MARGIN, runs: Vec::new() }
+        let quiet_until = now + COLD_LEASE_TIME + EXPIRY_MARGIN;
+        Self { bound, quiet_until, runs: Vec::new(), named: Vec::new() }
     }
 
     fn run(&mut self, now: Timestamp, holder: &RangeHolder) -> &mut RunAllocation {
@@ -150,14 +153,42 @@
         Some((host, rate))
     }
 
-    /// Records how many requests for keys of a cold holder a host received since its last report.
-    pub fn record_wanted(
+    /// Records how many requests for keys of cold holders a host received since its last report. The
+    /// time that this takes depends on the holders that the host names, not on the number of cold
+    /// ones.
+    pub fn record_demand(
         &mut self,
         now: Timestamp,
-        holder: &RangeHolder,
         host: &HostName,
-        wanted: u32,
+        wanted: &[(RangeHolder, u32)],
     ) {
+        let named = wanted.iter().map(|(holder, _)| holder.clone()).collect();
+        let before = match self.named.binary_search_by(|(known, _)| known.cmp(host)) {
+            Ok(index) => std::mem::replace(&mut self.named[index].1, named),
+            Err(index) => {
+                self.named.insert(index, (host.clone(), named));
+                Vec::new()
+            }
+        };
+        for holder in before {
+            if let Ok(index) = self.runs.binary_search_by(|run| run.holder.cmp(&holder)) {
+                let demands = &mut self.runs[index].demands;
+                demands.iter_mut().filter(|demand| demand.host == *host).for_each(|demand| {
+                    demand.wanted = 0;
+                });
+            }
+        }
+        for (holder, wanted) in wanted {
+            self.set_wanted(now, holder, host, *wanted);
+        }
+    }
+
+    /// Returns the number of pairs of a cold holder and a host that has asked for its keys.
+    pub fn demand_count(&self) -> usize {
+        self.runs.iter().map(|run| run.demands.len()).sum()
+    }
+
+    fn set_wanted(&mut self, now: Timestamp, holder: &RangeHolder, host: &HostName, wanted: u32) {
         let demands = &mut self.run(now, holder).demands;
         match demands.binary_search_by(|demand| demand.host.cmp(host)) {
             Ok(index) => demands[index].wanted = wanted,
@@ -223,6 +254,7 @@
         for run in &mut self.runs {
             run.demands.retain(|demand| is_connected(&demand.host));
         }
+        self.named.retain(|(host, _)| is_connected(host));
     }
 }
 
--- a/crates/gw-balance/tests/cold_rate.rs
+++ b/crates/gw-balance/tests/cold_rate.rs
@@ -156,7 +156,7 @@
         for host in &mut self.hosts {
             let wanted = std::mem::take(&mut host.wanted);
             if self.case.is_keyed && !host.is_deaf {
-                self.allocators[0].record_wanted(now, &record().holder(), &host.name, wanted);
+                self.allocators[0].record_demand(now, &host.name, &[(record().holder(), wanted)]);
             }
         }
     }
@@ -317,3 +317,31 @@
         assert!(used > 0.25, "{name} {fault:?}: {used} of the rate is used");
     }
 }
+
+/// Guards against a leader of hundreds of hosts and thousands of cold targets that has no time left
+/// for its heartbeats: each report of a host took a step for each cold target.
+#[test]
+fn reports_cost_what_they_name() {
+    const HOSTS: usize = 300;
+    const HOLDERS: u64 = 2_000;
+    const NAMED: usize = 2;
+    let mut allocator = ColdAllocator::new(at(0), BOUND);
+    let holder = |run| TargetRecord { run, ..record() }.holder();
+    for run in 0..HOLDERS {
+        allocator.permits(at(1), &holder(run), 1.0);
+    }
+    let host = |number| HostName::new(format!("host-{number}")).expect("a name");
+    let name = |allocator: &mut ColdAllocator, first: u64| {
+        for number in 0..HOSTS {
+            let wanted: Vec<_> = (0..NAMED as u64).map(|next| (holder(first + next), 3)).collect();
+            allocator.record_demand(at(2), &host(number), &wanted);
+        }
+    };
+    name(&mut allocator, 7);
+    assert_eq!(allocator.demand_count(), HOSTS * NAMED);
+    // A holder that is no longer named gives no permits.
+    name(&mut allocator, 11);
+    assert!(allocator.permits(at(400), &holder(7), 4.0).is_empty());
+    let given: u32 = allocator.permits(at(400), &holder(11), 4.0).iter().map(|given| given.1).sum();
+    assert!(given > 0);
+}
--- a/crates/gw-gateway/src/control/cold_targets.rs
+++ b/crates/gw-gateway/src/control/cold_targets.rs
@@ -144,20 +144,26 @@
     pub(crate) fn record_cold_demand(&self, host: &HostName, heat: &[ServiceHeat]) {
         let now = self.now();
         let log = self.log.borrow();
-        let monitor = self.monitor.borrow();
-        let cold = cold_targets(log.state(), |target| monitor.warmth.cold_rate(now, target));
-        let keyed = cold.iter().filter(|(target, _)| is_keyed(log.state(), &target.service));
-        for (target, _) in keyed {
-            let holder = target.holder();
-            let counts = heat.iter().filter(|heat| heat.service == target.service);
-            let table = log.state().table(&target.service);
-            let is_own = |key: u16| {
-                table.is_some_and(|table| table.find(key).holder.as_ref() == Some(&holder))
-            };
-            let wanted = counts.flat_map(|heat| &heat.counts).filter(|(key, _)| is_own(*key));
-            let wanted = wanted.map(|(_, count)| *count).sum();
-            self.cold.borrow_mut().allocator.record_wanted(now, &holder, host, wanted);
+        let state = log.state();
+        let warmth = &self.monitor.borrow().warmth;
+        let is_cold = |holder: &RangeHolder| {
+            let target = state.live_target(holder);
+            target.is_some_and(|target| warmth.cold_rate(now, target).is_some())
+        };
+        let mut wanted: BTreeMap<RangeHolder, u32> = BTreeMap::new();
+        let limited = heat.iter().filter(|report| warmth.is_limited(&report.service));
+        for report in limited.filter(|report| is_keyed(state, &report.service)) {
+            let Some(table) = state.table(&report.service) else { continue };
+            for (key, count) in &report.counts {
+                let holder = table.find(*key).holder.as_ref();
+                if let Some(holder) = holder.filter(|holder| is_cold(holder)) {
+                    let sum = wanted.entry(holder.clone()).or_default();
+                    *sum = sum.saturating_add(*count);
+                }
+            }
         }
+        let wanted: Vec<(RangeHolder, u32)> = wanted.into_iter().collect();
+        self.cold.borrow_mut().allocator.record_demand(now, host, &wanted);
     }
 }
 
@@ -291,14 +297,16 @@
             && link.link.supports(FormatVersion::EVACUATIONS)
             && receiver_clock(link, now).is_some()
     });
-    let hosts: Vec<(HostName, ZoneName)> = eligible
+    let mut hosts: Vec<(HostName, ZoneName)> = eligible
         .filter_map(|link| link.hello.as_ref().map(|(name, zone, _)| (name.clone(), zone.clone())))
         .collect();
-    allocator.retain(
-        now,
-        |holder| cold.iter().any(|(target, _)| target.holder() == *holder),
-        |host| hosts.iter().any(|(name, _)| name == host),
-    );
+    hosts.sort();
+    let is_cold = |holder: &RangeHolder| {
+        let found = cold.binary_search_by(|(target, _)| target.name.cmp(&holder.target));
+        found.is_ok_and(|index| cold[index].0.run == holder.run)
+    };
+    let is_connected = |host: &HostName| hosts.binary_search_by(|(name, _)| name.cmp(host)).is_ok();
+    allocator.retain(now, is_cold, is_connected);
     let mut leases: BTreeMap<HostName, Vec<HostLease>> = BTreeMap::new();
     for (target, per_second) in cold {
         let holder = target.holder();
