fix(gw-ranges, gw-gateway): steps of the granters leave time for heartbeats

Cause, third part, of the leaders that change at 300 hosts and 3,000 targets: each tick of 25 ms took a step of the granters, which looks at all targets and ranges and took 10 to 25 ms there, so that nothing was left for the calls and heartbeats.

--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -19,6 +19,7 @@
 use gw_fleet::TargetPhase;
 use gw_fleet::TargetRecord;
 use gw_ranges::RangeHolder;
+use gw_ranges::StepPacer;
 use gw_types::Clock;
 use gw_types::HostId;
 use gw_types::TargetName;
@@ -142,6 +143,8 @@
     pub(crate) granters: RefCell<GranterSet>,
     /// When the granters were last advanced.
     pub(crate) granters_stepped_at: Cell<Timestamp>,
+    /// Leaves time between steps of the granters that take long.
+    pub(crate) granter_pacer: Cell<StepPacer>,
     /// Overloaded holders that were last reported to entry hosts.
     pub(crate) overloaded: RefCell<Vec<RangeHolder>>,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
@@ -207,6 +210,7 @@
             heard_targets: RefCell::default(),
             granters: RefCell::new(GranterSet::new(settings.max_lease_duration)),
             granters_stepped_at: Cell::new(Timestamp::ZERO),
+            granter_pacer: Cell::default(),
             overloaded: RefCell::default(),
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
             cold: RefCell::new(ColdDuty::new(clock.now(), &settings)),
--- a/crates/gw-gateway/src/control/order_delivery.rs
+++ b/crates/gw-gateway/src/control/order_delivery.rs
@@ -90,10 +90,10 @@
 /// Carries out the orders and proposals that the range granters ask for. Does nothing unless this
 /// host is the confirmed leader.
 pub(crate) fn step_granters(host: &Rc<ControlHost>, unreachable: &Rc<UnreachableTargets>) {
-    if !host.is_confirmed_leader() {
+    let now = host.now();
+    if !host.is_confirmed_leader() || !host.granter_pacer.get().is_due(now) {
         return;
     }
-    let now = host.now();
     host.granters_stepped_at.set(now);
     let (orders, commands) = {
         let log = host.log.borrow();
@@ -104,6 +104,9 @@
         spawn_local(run_order(host.clone(), unreachable.clone(), order));
     }
     commands.into_iter().for_each(|command| host.propose(command));
+    let mut pacer = host.granter_pacer.get();
+    pacer.record(now, host.now());
+    host.granter_pacer.set(pacer);
 }
 
 async fn run_order(host: Rc<ControlHost>, unreachable: Rc<UnreachableTargets>, order: TargetOrder) {
--- a/crates/gw-ranges/src/lib.rs
+++ b/crates/gw-ranges/src/lib.rs
@@ -24,6 +24,7 @@
 mod range_plan;
 mod range_table;
 mod stated_pace;
+mod step_pacer;
 mod target_order;
 
 pub use acceptance_estimator::AcceptanceEstimator;
@@ -44,6 +45,7 @@
 pub use range_table::RangeAssignment;
 pub use range_table::RangeTable;
 pub use stated_pace::StatedPace;
+pub use step_pacer::StepPacer;
 pub use target_order::OrderKind;
 pub use target_order::OrderOutcome;
 pub use target_order::TargetOrder;
