--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -19,10 +19,12 @@
 use gw_fleet::TargetPhase;
 use gw_fleet::TargetRecord;
 use gw_ranges::RangeHolder;
+use gw_ranges::StepPacer;
 use gw_types::Clock;
 use gw_types::HostId;
 use gw_types::TargetName;
 use gw_types::Timestamp;
+use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -141,6 +143,8 @@
     pub(crate) granters: RefCell<GranterSet>,
     /// When the granters were last advanced.
     pub(crate) granters_stepped_at: Cell<Timestamp>,
+    /// Leaves time between steps of the granters that take long.
+    pub(crate) granter_pacer: Cell<StepPacer>,
     /// Overloaded holders that were last reported to entry hosts.
     pub(crate) overloaded: RefCell<Vec<RangeHolder>>,
     pub(crate) quarantine: RefCell<CrashQuarantine>,
@@ -161,6 +165,10 @@
     pub(crate) is_stopping: Cell<bool>,
     /// Earliest time at which a failed replica is restarted.
     pub(crate) restart_at: Cell<Timestamp>,
+    /// Whether the replica has messages or proposals for which no I/O was performed yet.
+    pub(crate) is_drive_due: Cell<bool>,
+    /// Wakes the loop of events when [`ControlHost::is_drive_due`] has been set.
+    pub(crate) drive_wakeup: Notify,
     pub(crate) pending_commands: RefCell<Vec<PendingCommand>>,
     pub(crate) pending_reads: RefCell<Vec<PendingRead>>,
     next_call: Cell<CallId>,
@@ -202,6 +210,7 @@
             heard_targets: RefCell::default(),
             granters: RefCell::new(GranterSet::new(settings.max_lease_duration)),
             granters_stepped_at: Cell::new(Timestamp::ZERO),
+            granter_pacer: Cell::default(),
             overloaded: RefCell::default(),
             quarantine: RefCell::new(CrashQuarantine::new(QUARANTINE_OPTIONS)),
             cold: RefCell::new(ColdDuty::new(clock.now(), &settings)),
@@ -213,6 +222,8 @@
             pending_calls: RefCell::default(),
             is_stopping: Cell::new(false),
             restart_at: Cell::new(Timestamp::ZERO),
+            is_drive_due: Cell::default(),
+            drive_wakeup: Notify::new(),
             pending_commands: RefCell::default(),
             pending_reads: RefCell::default(),
             next_call: Cell::new(clock.now().as_nanos()),
