--- a/crates/gw-ranges/src/step_pacer.rs
+++ b/crates/gw-ranges/src/step_pacer.rs
@@ -10,8 +10,7 @@
 /// A step looks at all targets and ranges. With thousands of them on a busy processor, steps in a row
 /// would leave a leader no time for its heartbeats, and others would replace it.
 ///
-/// Invariant: steps take at most a quarter of the time, unless one takes more than a third of
-/// [`MAX_PAUSE`].
+/// Invariant: steps take at most a quarter of the time, unless one takes more than 83 ms.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StepPacer {
     paused_until: Timestamp,
