fix(gw-fleet, gw-gateway): deregistrations of restarted targets are acknowledged once they take effect

Cause: within 10 s after a later run had replaced an earlier one, RunReplacements took every deregistration for a late one of the earlier run. It was acknowledged and had no effect. Without the restart nothing is late. Change: such a deregistration is not acknowledged. The run is suspended: removed as silent, so that its next announcement registers it again. If 2 s pass without one and the deregistration is repeated, the run has left for good and the call is acknowledged. A call that nobody repeats costs the later run its requests until its next announcement only. Since nothing is acknowledged before, an announcement that arrives late cannot bring back a run whose departure was acknowledged. New log event: departure_doubted, with the run and whether it was suspended already.

--- a/crates/gw-fleet/src/lib.rs
+++ b/crates/gw-fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod fleet_state;
 mod format_version;
 mod learned_state;
+mod recent_run;
 mod replacement_window;
 mod replica_record;
 mod replica_view;
--- a/crates/gw-fleet/tests/late_calls.rs
+++ b/crates/gw-fleet/tests/late_calls.rs
@@ -215,3 +215,112 @@
         assert_eq!(state.is_outdated(&record), case.is_outdated, "{}", case.name);
     }
 }
+
+/// What happens at a control host, and what it must lead to.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A run announces itself; it is registered afterwards.
+    Announced(u64),
+    /// A late announcement of a run that stays removed.
+    Refused(u64),
+    /// A deregistration is acknowledged: no run is registered any more.
+    Left,
+    /// A deregistration is not acknowledged, and no request goes to the target until it announces
+    /// itself again.
+    Suspended,
+}
+
+/// A control host that decides deregistrations.
+#[derive(Default)]
+struct DecidingHost {
+    state: FleetState,
+    replacements: RunReplacements,
+}
+
+impl DecidingHost {
+    fn announce(&mut self, now: Timestamp, run: u64) {
+        let record = record(run, TargetPhase::Serving);
+        let previous = self.state.latest_run(&record.name);
+        if !self.state.is_outdated(&record) {
+            self.state.apply(&FleetCommand::PutTarget(record.clone()));
+        }
+        if previous.is_some_and(|previous| previous < run) {
+            self.replacements.record(now, record.holder());
+        }
+    }
+
+    fn apply_removal(&mut self, now: Timestamp, command: &FleetCommand) {
+        self.state.apply(command);
+        if let FleetCommand::RemoveTarget {
+            run: Some(run), cause: DepartureCause::Silent, ..
+        } = command
+        {
+            let holder = RangeHolder { target: name(), run: *run };
+            self.replacements.record_silence(now, &holder);
+        }
+    }
+
+    /// Handles a deregistration. Returns whether it is acknowledged.
+    fn deregister(&mut self, now: Timestamp) -> bool {
+        let departure = self.replacements.departure(now, &self.state, &name());
+        let suspension = self.replacements.suspension(now, &self.state, &name());
+        let command = departure.as_ref().or(suspension.as_ref());
+        command.into_iter().for_each(|command| self.apply_removal(now, command));
+        departure.is_some()
+    }
+}
+
+struct RestartCase {
+    name: &'static str,
+    /// Steps with the seconds at which they happen.
+    steps: Vec<(f64, Step)>,
+}
+
+/// Guards against deregistrations that are acknowledged while a later run stays in use, and against
+/// later runs that a late deregistration shuts out.
+#[test]
+fn deregistrations_after_a_restart_are_acknowledged_once_they_have_an_effect() {
+    use Step::*;
+    let restarted = [(0.0, Announced(1)), (8.0, Announced(2))];
+    let case = |name, steps: &[(f64, Step)]| RestartCase {
+        name,
+        steps: restarted.iter().chain(steps).copied().collect(),
+    };
+    let cases = [
+        case(
+            "the later run leaves and repeats it",
+            &[(12.0, Suspended), (12.5, Suspended), (14.5, Left), (15.0, Refused(2))],
+        ),
+        case(
+            "an announcement of the run that leaves is late",
+            &[(12.0, Suspended), (12.5, Announced(2)), (13.0, Suspended), (15.5, Left)],
+        ),
+        case(
+            "the earlier run's is late, twice",
+            &[(9.0, Suspended), (9.8, Announced(2)), (11.5, Suspended), (12.0, Announced(2))],
+        ),
+        case("the later run leaves long afterwards", &[(18.5, Left), (19.0, Refused(2))]),
+        case(
+            "the run that came last leaves",
+            &[(9.0, Announced(3)), (15.0, Suspended), (17.5, Left), (18.0, Refused(3))],
+        ),
+    ];
+    for case in cases {
+        let mut host = DecidingHost::default();
+        for (seconds, step) in case.steps {
+            let now = Timestamp::from_nanos((seconds * 1e9) as u64);
+            let context = format!("{}: {step:?} at {seconds} s", case.name);
+            match step {
+                Announced(run) | Refused(run) => host.announce(now, run),
+                Left => assert!(host.deregister(now), "{context}"),
+                Suspended => assert!(!host.deregister(now), "{context}"),
+            }
+            let registered = host.state.target(&name()).map(|record| record.run);
+            let expected = match step {
+                Announced(run) => Some(run),
+                Refused(_) | Left | Suspended => None,
+            };
+            assert_eq!(registered, expected, "{context}");
+        }
+    }
+}
--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -5,6 +5,7 @@
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
 use gw_fleet::ZoneEvacuation;
+use gw_types::TargetName;
 use http::Request;
 use http::Response;
 use http::request;
@@ -88,17 +89,7 @@
 async fn execute(host: &Rc<ControlHost>, call: ControlCall) -> ControlReply {
     match call {
         ControlCall::Announce(announcement) => announce(host, announcement).await,
-        ControlCall::Leave { name } => {
-            let command = {
-                let (log, replacements) = (host.log.borrow(), host.run_replacements.borrow());
-                replacements.departure(host.now(), log.state(), &name)
-            };
-            let Some(command) = command else {
-                log::warn!("event=late_departure_ignored target={name}");
-                return ControlReply::Accepted;
-            };
-            commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
-        }
+        ControlCall::Leave { name } => leave(host, &name).await,
         ControlCall::PutConfig(config) => {
             match commit(host, FleetCommand::SetConfig(config)).await {
                 Ok(FleetOutcome::Config(version)) => ControlReply::ConfigInForce(version),
@@ -161,6 +152,28 @@
     commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
 }
 
+/// Handles a deregistration. One that may be that of an earlier run suspends the present run and is
+/// not acknowledged: the target that leaves repeats it, one that does not leave announces itself.
+async fn leave(host: &Rc<ControlHost>, name: &TargetName) -> ControlReply {
+    let (departure, suspension, run) = {
+        let (log, replacements) = (host.log.borrow(), host.run_replacements.borrow());
+        let (now, state) = (host.now(), log.state());
+        let departure = replacements.departure(now, state, name);
+        (departure, replacements.suspension(now, state, name), state.latest_run(name))
+    };
+    let Some(command) = departure else {
+        let is_suspended = suspension.is_none();
+        log::warn!("event=departure_doubted target={name} run={run:?} suspended={is_suspended}");
+        if let Some(command) = suspension
+            && let Err(reply) = commit(host, command).await
+        {
+            return reply;
+        }
+        return ControlReply::Unavailable { reason: "not certain which run leaves" };
+    };
+    commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
+}
+
 /// Proposes a command, through the leader if that is another host, and waits until it is committed.
 async fn commit(host: &ControlHost, command: FleetCommand) -> Result<FleetOutcome, ControlReply> {
     let (sender, receiver) = oneshot::channel();
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -6,10 +6,12 @@
 use gw_agreement::LogEntry;
 use gw_agreement::Message;
 use gw_agreement::ReplicaNode;
+use gw_fleet::DepartureCause;
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
 use gw_fleet::FleetState;
 use gw_fleet::ZoneEvacuation;
+use gw_ranges::RangeHolder;
 use gw_types::HostId;
 
 use crate::control::control_host::ControlHost;
@@ -178,6 +180,12 @@
                     self.run_replacements.borrow_mut().record(self.now(), record.holder());
                 }
             }
+            if let FleetCommand::RemoveTarget { name, run: Some(run), cause } = command
+                && (*cause, outcome) == (DepartureCause::Silent, FleetOutcome::Applied)
+            {
+                let holder = RangeHolder { target: name.clone(), run: *run };
+                self.run_replacements.borrow_mut().record_silence(self.now(), &holder);
+            }
             if let FleetCommand::EndEvacuation { zone } = command {
                 self.record_evacuation_end(zone);
             }
