fix(gw-fleet, gw-gateway): a deregistration that changes nothing is acknowledged only if the target has left

Cause: a control host whose log lags names the run that it knows. The command has no effect on the later run, and its outcome was not looked at. If the later run had been removed as silent, the command shut it out instead, although it named the earlier run. Change: without effect, the control host catches up with the leader and acknowledges only if no run of the target is registered or can return; otherwise it logs departure_of_earlier_run and the caller repeats the call. A departure that names a run concerns only that run.

--- a/crates/gw-fleet/src/fleet_state.rs
+++ b/crates/gw-fleet/src/fleet_state.rs
@@ -163,8 +163,10 @@
             Ok(index) if run.is_none_or(|run| run == self.targets[index].run) => index,
             _ => {
                 // A target that was removed as silent has now deregistered itself.
-                let removed =
-                    self.departed.iter_mut().find(|departed| departed.record.name == *name);
+                let removed = self.departed.iter_mut().find(|departed| {
+                    departed.record.name == *name
+                        && run.is_none_or(|run| run == departed.record.run)
+                });
                 if let Some(departed) = removed.filter(|_| cause == DepartureCause::Left) {
                     departed.cause = cause;
                 }
@@ -275,6 +277,15 @@
         self.target(&holder.target).filter(|target| target.run == holder.run)
     }
 
+    /// Returns whether no run of the target `name` is registered, or can return without a later
+    /// start.
+    pub fn has_left(&self, name: &TargetName) -> bool {
+        let can_return = |departed: &DepartedTarget| {
+            departed.record.name == *name && departed.cause == DepartureCause::Silent
+        };
+        self.target(name).is_none() && !self.departed.iter().any(can_return)
+    }
+
     /// Returns the most recently removed targets, in order of removal.
     pub fn departed(&self) -> &[DepartedTarget] {
         &self.departed
--- a/crates/gw-fleet/tests/late_calls.rs
+++ b/crates/gw-fleet/tests/late_calls.rs
@@ -228,6 +228,11 @@
     /// A deregistration is not acknowledged, and no request goes to the target until it announces
     /// itself again.
     Suspended,
+    /// A deregistration reaches a host that does not know yet of the runs after the given one. It is
+    /// not acknowledged and changes nothing.
+    LeftAtLaggingHost(u64),
+    /// The target is removed as silent.
+    Silent,
 }
 
 /// A control host that decides deregistrations.
@@ -260,13 +265,14 @@
         }
     }
 
-    /// Handles a deregistration. Returns whether it is acknowledged.
-    fn deregister(&mut self, now: Timestamp) -> bool {
-        let departure = self.replacements.departure(now, &self.state, &name());
-        let suspension = self.replacements.suspension(now, &self.state, &name());
+    /// Handles a deregistration; `known` is the state of the host that receives it. Returns whether it
+    /// is acknowledged.
+    fn deregister(&mut self, now: Timestamp, known: &FleetState) -> bool {
+        let departure = self.replacements.departure(now, known, &name());
+        let suspension = self.replacements.suspension(now, known, &name());
         let command = departure.as_ref().or(suspension.as_ref());
         command.into_iter().for_each(|command| self.apply_removal(now, command));
-        departure.is_some()
+        departure.is_some() && self.state.has_left(&name())
     }
 }
 
@@ -304,21 +310,37 @@
             "the run that came last leaves",
             &[(9.0, Announced(3)), (15.0, Suspended), (17.5, Left), (18.0, Refused(3))],
         ),
+        case("one arrives where the log lags", &[(20.0, LeftAtLaggingHost(1)), (21.0, Left)]),
+        case(
+            "one arrives where the log lags while the later run is silent",
+            &[(30.0, Silent), (30.5, LeftAtLaggingHost(1)), (31.0, Announced(2))],
+        ),
     ];
     for case in cases {
         let mut host = DecidingHost::default();
         for (seconds, step) in case.steps {
             let now = Timestamp::from_nanos((seconds * 1e9) as u64);
+            let known = host.state.clone();
             let context = format!("{}: {step:?} at {seconds} s", case.name);
             match step {
                 Announced(run) | Refused(run) => host.announce(now, run),
-                Left => assert!(host.deregister(now), "{context}"),
-                Suspended => assert!(!host.deregister(now), "{context}"),
+                Left => assert!(host.deregister(now, &known), "{context}"),
+                Suspended => assert!(!host.deregister(now, &known), "{context}"),
+                LeftAtLaggingHost(run) => {
+                    assert!(!host.deregister(now, &state_after(&[served(run)])), "{context}");
+                }
+                Silent => {
+                    let run = known.latest_run(&name());
+                    let cause = DepartureCause::Silent;
+                    let removal = FleetCommand::RemoveTarget { name: name(), run, cause };
+                    host.apply_removal(now, &removal);
+                }
             }
             let registered = host.state.target(&name()).map(|record| record.run);
             let expected = match step {
                 Announced(run) => Some(run),
-                Refused(_) | Left | Suspended => None,
+                Refused(_) | Left | Suspended | Silent => None,
+                LeftAtLaggingHost(_) => known.target(&name()).map(|record| record.run),
             };
             assert_eq!(registered, expected, "{context}");
         }
--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -171,7 +171,31 @@
         }
         return ControlReply::Unavailable { reason: "not certain which run leaves" };
     };
-    commit(host, command).await.map_or_else(|reply| reply, |_| ControlReply::Accepted)
+    match commit(host, command).await {
+        Ok(FleetOutcome::Applied) => ControlReply::Accepted,
+        // The target has left before, or has a run that this host did not know of.
+        Ok(_) => confirm_departure(host, name, run).await,
+        Err(reply) => reply,
+    }
+}
+
+/// Acknowledges a deregistration that changed nothing if no run of the target remains. `run` is the
+/// latest run that this host knew of when the call arrived.
+async fn confirm_departure(
+    host: &Rc<ControlHost>,
+    name: &TargetName,
+    run: Option<u64>,
+) -> ControlReply {
+    if let Err(reply) = catch_up(host).await {
+        return reply;
+    }
+    let log = host.log.borrow();
+    if log.state().has_left(name) {
+        return ControlReply::Accepted;
+    }
+    let latest = log.state().latest_run(name);
+    log::warn!("event=departure_of_earlier_run target={name} run={run:?} latest={latest:?}");
+    ControlReply::Unavailable { reason: "a later run of the target is registered" }
 }
 
 /// Proposes a command, through the leader if that is another host, and waits until it is committed.
