--- a/crates/gw-fleet/src/run_replacements.rs
+++ b/crates/gw-fleet/src/run_replacements.rs
@@ -8,6 +8,7 @@
 use crate::FleetCommand;
 use crate::FleetState;
 use crate::TargetPhase;
+use crate::TargetRecord;
 use crate::recent_run::RecentRun;
 
 /// Time after the first announcement of a later run within which a deregistration may be a late one
@@ -39,6 +40,16 @@
         self.insert(now, holder);
     }
 
+    /// Records the runs of `after` that this host did not know of in `before`, as a host that has
+    /// missed a part of the log cannot tell which of them have replaced an earlier run.
+    pub fn record_learned(&mut self, now: Timestamp, before: &FleetState, after: &FleetState) {
+        self.expire(now);
+        let holders = after.targets().iter().map(TargetRecord::holder);
+        holders
+            .filter(|holder| before.live_target(holder).is_none())
+            .for_each(|holder| self.insert(now, holder));
+    }
+
     /// Records that `holder` has been removed as silent.
     pub fn record_silence(&mut self, now: Timestamp, holder: &RangeHolder) {
         if let Ok(index) = self.find(holder) {
--- a/crates/gw-fleet/tests/late_calls.rs
+++ b/crates/gw-fleet/tests/late_calls.rs
@@ -233,6 +233,8 @@
     LeftAtLaggingHost(u64),
     /// The target is removed as silent.
     Silent,
+    /// The host learns the state from a snapshot in place of the log.
+    Learned,
 }
 
 /// A control host that decides deregistrations.
@@ -315,6 +317,10 @@
             "one arrives where the log lags while the later run is silent",
             &[(30.0, Silent), (30.5, LeftAtLaggingHost(1)), (31.0, Announced(2))],
         ),
+        case(
+            "one arrives where a part of the log was missed",
+            &[(30.0, Learned), (31.0, Suspended), (31.5, Announced(2)), (41.0, Left)],
+        ),
     ];
     for case in cases {
         let mut host = DecidingHost::default();
@@ -335,12 +341,16 @@
                     let removal = FleetCommand::RemoveTarget { name: name(), run, cause };
                     host.apply_removal(now, &removal);
                 }
+                Learned => {
+                    host.replacements = RunReplacements::default();
+                    host.replacements.record_learned(now, &FleetState::default(), &known);
+                }
             }
             let registered = host.state.target(&name()).map(|record| record.run);
             let expected = match step {
                 Announced(run) => Some(run),
                 Refused(_) | Left | Suspended | Silent => None,
-                LeftAtLaggingHost(_) => known.target(&name()).map(|record| record.run),
+                LeftAtLaggingHost(_) | Learned => known.target(&name()).map(|record| record.run),
             };
             assert_eq!(registered, expected, "{context}");
         }
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -107,7 +107,10 @@
                 match FleetState::restore(&snapshot.data) {
                     Ok(state) => {
                         replica.last_snapshot = snapshot.meta.index.0;
-                        self.log.borrow_mut().install(snapshot.meta.index.0, state);
+                        let mut log = self.log.borrow_mut();
+                        let mut replacements = self.run_replacements.borrow_mut();
+                        replacements.record_learned(self.now(), log.state(), &state);
+                        log.install(snapshot.meta.index.0, state);
                     }
                     Err(error) => {
                         drop(slot);
