fix(gw-fleet): a run that drains and was removed as silent does not serve again

Not seen with real processes. Change: a run that returns keeps the phase that it had. Result: late_calls, runs_that_drain_never_serve_again, failed before in the case of the silent run and passes.

--- a/crates/gw-fleet/src/fleet_state.rs
+++ b/crates/gw-fleet/src/fleet_state.rs
@@ -134,8 +134,15 @@
         }
         match self.targets.binary_search_by(|known| known.name.cmp(&record.name)) {
             Err(position) => {
+                let was_draining = self.departed.iter().any(|departed| {
+                    departed.record.holder() == record.holder()
+                        && departed.record.phase == TargetPhase::Draining
+                });
                 self.departed.retain(|departed| departed.record.name != record.name);
                 self.targets.insert(position, record.clone());
+                if was_draining {
+                    self.targets[position].phase = TargetPhase::Draining;
+                }
             }
             Ok(index) => {
                 let known = &mut self.targets[index];
--- a/crates/gw-fleet/tests/late_calls.rs
+++ b/crates/gw-fleet/tests/late_calls.rs
@@ -106,6 +106,22 @@
     }
 }
 
+/// Guards against a late announcement of a run that drains: the run got requests again once it had been
+/// removed as silent.
+#[test]
+fn runs_that_drain_never_serve_again() {
+    let cases = [
+        ("announced again", vec![served(1), drained(1), served(1)], TargetPhase::Draining),
+        ("silent", vec![served(1), drained(1), SILENT, served(1)], TargetPhase::Draining),
+        ("another run", vec![served(1), drained(1), SILENT, served(2)], TargetPhase::Serving),
+    ];
+    for (name_of_case, events, phase) in cases {
+        let state = state_after(&events);
+        let found = state.target(&name()).map(|record| record.phase);
+        assert_eq!(found, Some(phase), "{name_of_case}");
+    }
+}
+
 struct DepartureCase {
     name: &'static str,
     events: Vec<Event>,
