fix(gw-gateway): answers whose status is none that ends a request count as malformed

Callers saw: a 101 that nobody had asked for, without length or body, and no final answer after it; and the statuses 600 to 999 with the signature of the target (MIXED). Safe requests were not tried again. Cause: hyper parses any status from 100 to 999, and takes 101 for the end of an exchange. Nothing looked at the status of a target but for failures from 500 to 599, so that the others counted as success of the target as well. Decision: PROTOCOL.md says that a status is returned unchanged, and that bytes which are no response belong to no request. RFC 9110, section 15, calls statuses outside 100 to 599 invalid and asks to treat them as 5xx; 101 answers an Upgrade, which is never forwarded. So both are no answer: the request ends with 502 malformed_answer, without the signature, is tried again if it may be, the target counts as failing, and the connection is closed. Interim answers (100, 102 to 199) are still skipped. 000, 099 and statuses of other lengths, which ended as broken connections, are malformed as well. A target that sends something is not gone: its requests are no longer suspected of having crashed it.

--- a/crates/gw-gateway/src/entry/relay_attempt.rs
+++ b/crates/gw-gateway/src/entry/relay_attempt.rs
@@ -130,6 +130,10 @@
             turn.record_failed(host.now());
             refused(TARGET_UNREACHABLE, MOVE_RETRY_AFTER)
         }
+        ExchangeOutcome::Malformed { cause, .. } => {
+            log_relay(request, address, "malformed", &cause);
+            unknown(StatusCode::BAD_GATEWAY, "relay_malformed")
+        }
         ExchangeOutcome::Broken { cause, .. } => {
             log_relay(request, address, "broken", &cause);
             unknown(StatusCode::BAD_GATEWAY, "relay_broke")
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -197,6 +197,18 @@
                 misdirected: false,
             }
         }
+        ExchangeOutcome::Malformed { cause, was_pooled } => {
+            log_failure(request, &permit, "malformed", &cause);
+            if was_pooled {
+                host.connections.close_idle(address);
+            }
+            permit.finish(AttemptOutcome::Broken);
+            ForwardOutcome::Unknown {
+                status: StatusCode::BAD_GATEWAY,
+                reason: "malformed_answer",
+                is_connection_fault: was_pooled,
+            }
+        }
         ExchangeOutcome::Broken { cause, was_pooled } => {
             log_failure(request, &permit, "broken", &cause);
             if was_pooled {
--- a/crates/gw-gateway/src/targets/exchange.rs
+++ b/crates/gw-gateway/src/targets/exchange.rs
@@ -64,12 +64,18 @@
     Streaming(StreamedReply),
     /// No byte of the request was handed to the connection, so it was not executed.
     NotSent(String),
-    /// The connection broke or carried something that is not a response. The request may have been
-    /// executed.
+    /// Something that is not a valid response arrived, as is one with a status that is not final or that
+    /// HTTP does not define (RFC 9110, section 15). The target runs, and may have executed the request.
+    Malformed {
+        cause: String,
+        /// Whether the connection had carried earlier requests, to one of which the bytes may belong.
+        was_pooled: bool,
+    },
+    /// The connection broke. The request may have been executed.
     Broken {
         cause: String,
         /// Whether the connection had carried earlier requests. The target may have closed it while it
-        /// was idle, or sent something that belongs to one of them.
+        /// was idle.
         was_pooled: bool,
     },
     /// No complete response arrived in time. The request may have been executed.
--- a/crates/gw-gateway/src/targets/order_sender.rs
+++ b/crates/gw-gateway/src/targets/order_sender.rs
@@ -94,6 +94,7 @@
         ExchangeOutcome::NotSent(_) => unanswered(OrderOutcome::NotSent),
         // Responses to orders are small; anything else is not one.
         ExchangeOutcome::Streaming(_)
+        | ExchangeOutcome::Malformed { .. }
         | ExchangeOutcome::Broken { .. }
         | ExchangeOutcome::TimedOut => unanswered(OrderOutcome::Unanswered),
     }
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -12,6 +12,7 @@
 use gw_types::Clock;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -281,6 +282,10 @@
             }
             match sent {
                 Err(_) => return ExchangeOutcome::TimedOut,
+                Ok(Ok(response)) if !is_final(response.status()) => {
+                    let cause = format!("status {} is no answer", response.status().as_u16());
+                    return ExchangeOutcome::Malformed { cause, was_pooled: is_pooled };
+                }
                 Ok(Ok(response)) => {
                     let received = ReceivedHead { response, started, was_pooled: is_pooled };
                     let reply = self.read_reply(address, connection, received, options);
@@ -289,7 +294,14 @@
                 Ok(Err(mut failed)) => match failed.take_message() {
                     Some(unsent) if is_pooled => request = unsent,
                     Some(_) => return ExchangeOutcome::NotSent(failed.into_error().to_string()),
-                    None => return broken(failed.into_error().to_string(), is_pooled),
+                    None => {
+                        let error = failed.into_error();
+                        let cause = error.to_string();
+                        return match error.is_parse() {
+                            true => ExchangeOutcome::Malformed { cause, was_pooled: is_pooled },
+                            false => broken(cause, is_pooled),
+                        };
+                    }
                 },
             }
         }
@@ -371,6 +383,12 @@
     }
 }
 
+/// Whether a status is that of a complete answer. No request asks for another protocol, so that an
+/// answer that switches to one (101) is followed by nothing that could be forwarded.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 fn broken(cause: String, was_pooled: bool) -> ExchangeOutcome {
     ExchangeOutcome::Broken { cause, was_pooled }
 }
