test(gw-daemon): the port of a target that is not there stays reserved

Traced: the test took a free port and gave it back; the only 403 of a host's listener is that for a missing ticket, so a host of another test in the same program had been given the port. The socket is now kept, bound and not listening, which refuses connections for as long as the case runs.

--- a/crates/gw-daemon/tests/outcomes.rs
+++ b/crates/gw-daemon/tests/outcomes.rs
@@ -12,13 +12,17 @@
 use support::Reply;
 use support::StandInTarget;
 use support::start_hosts;
+use tokio::net::TcpSocket;
 
 const GET: &str = "GET /slips/k1 HTTP/1.1\r\nhost: x\r\n\r\n";
 const POST: &str = "POST /slips/k1 HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n\r\nabc";
 
-/// Returns an address on which nothing listens.
-fn closed_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Returns a socket with an address on which nothing listens as long as the socket exists.
+fn closed_address() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
 }
 
 /// Guards against wrong outcomes for each way in which a single target can fail, through one and
@@ -116,7 +120,8 @@
                 Some(reply) => Some(StandInTarget::start(move |_, _| reply.clone()).await),
                 None => None,
             };
-            let address = target.as_ref().map_or_else(closed_address, |target| target.address);
+            let (_closed, closed_address) = closed_address();
+            let address = target.as_ref().map_or(closed_address, |target| target.address);
             let layout = Layout { deadline_ms: 600, ..Layout::keyed(address, dispatcher) };
             hosts.iter().for_each(|host| host.publish(&layout));
             let answer = RawCaller::ask(hosts[0].callers, case.request).await;
