fix(gw-daemon): statuses from 600 to 999 are invalid responses on the product's own interface

Both crates now ask gw_daemon::is_final_status. Result: outcomes_are_correct, new case of status 600, failed before (600 answered) and passes.

--- a/crates/gw-daemon/src/http/mod.rs
+++ b/crates/gw-daemon/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod caller_body;
 mod caller_stream;
 mod failure;
+mod final_status;
 mod head_scanner;
 mod header_names;
 mod hop_fields;
@@ -15,6 +16,7 @@
 pub(crate) use caller_stream::CallerStream;
 pub(crate) use failure::Failure;
 pub(crate) use failure::FailureCause;
+pub use final_status::is_final_status;
 pub(crate) use head_scanner::HeadScanner;
 pub(crate) use head_scanner::HeadVerdict;
 pub(crate) use head_scanner::VerdictQueue;
--- a/crates/gw-daemon/src/lib.rs
+++ b/crates/gw-daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod traffic;
 
 pub use boot_clock::BootClock;
+pub use http::is_final_status;
 pub use http::remove_hop_fields;
 pub use listen::ApiFuture;
 pub use listen::ApiReply;
--- a/crates/gw-daemon/src/traffic/exchange.rs
+++ b/crates/gw-daemon/src/traffic/exchange.rs
@@ -6,7 +6,6 @@
 use http::Method;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::Uri;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -20,6 +19,7 @@
 use crate::http::Failure;
 use crate::http::FailureCause;
 use crate::http::RequestBody;
+use crate::http::is_final_status;
 
 /// Largest number of attempts to send a request. Each attempt after the first uses a new
 /// connection.
@@ -127,7 +127,7 @@
     let (cause, body) = tokio::select! {
         biased;
         result = sending => match result {
-            Ok(response) if response.status() == StatusCode::SWITCHING_PROTOCOLS => {
+            Ok(response) if !is_final_status(response.status()) => {
                 (FailureCause::InvalidResponse, None)
             }
             Ok(response) => return Ok(OpenExchange { response, connection, progress, timer }),
--- a/crates/gw-daemon/tests/outcomes.rs
+++ b/crates/gw-daemon/tests/outcomes.rs
@@ -111,6 +111,13 @@
             expected: (502, "unknown"),
             runs: 1,
         },
+        Case {
+            name: "status that HTTP does not define",
+            request: POST,
+            reply: Some(Reply::Raw(b"HTTP/1.1 600 X\r\ncontent-length: 0\r\n\r\n".to_vec())),
+            expected: (502, "unknown"),
+            runs: 1,
+        },
     ];
     for dispatcher in [1, 2] {
         for case in &cases {
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -9,10 +9,10 @@
 use gw_balance::PathMonitor;
 use gw_balance::RelayLimit;
 use gw_daemon::BootClock;
+use gw_daemon::is_final_status;
 use gw_types::Clock;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -282,7 +282,7 @@
             }
             match sent {
                 Err(_) => return ExchangeOutcome::TimedOut,
-                Ok(Ok(response)) if !is_final(response.status()) => {
+                Ok(Ok(response)) if !is_final_status(response.status()) => {
                     let cause = format!("status {} is no answer", response.status().as_u16());
                     return ExchangeOutcome::Malformed { cause, was_pooled: is_pooled };
                 }
@@ -383,12 +383,6 @@
     }
 }
 
-/// Whether a status is that of a complete answer. No request asks for another protocol, so that an
-/// answer that switches to one (101) is followed by nothing that could be forwarded.
-fn is_final(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
 fn broken(cause: String, was_pooled: bool) -> ExchangeOutcome {
     ExchangeOutcome::Broken { cause, was_pooled }
 }
