fix(gw-gateway): requests wait 20 ms for a pooled connection to be ready

Cause: a target may answer before it has read a request. Its connection goes into the pool while the rest of the body is still being sent, and the next request that got it waited for that without a deadline, held a permit of the target, and was sent whenever the target had read on. Change: a pooled connection that takes no request within 20 ms is closed, and the request goes to another one. All waits end with the deadline.

--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -39,6 +39,9 @@
 
 /// Longest time to establish a connection; a healthy target takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Longest wait until a pooled connection takes a request. One that is idle takes it at once; one on
+/// which the body of an earlier request is still being sent may stay busy for ever.
+const READY_TIMEOUT: Duration = Duration::from_millis(20);
 /// Idle time of a pooled connection when the target states none.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(5);
 /// Longest idle time that a target can state, since one near 2^64 seconds exceeds the clock's range.
@@ -261,11 +264,13 @@
                     Err(cause) => return ExchangeOutcome::NotSent(cause),
                 },
             };
-            if let Err(error) = connection.sender.ready().await {
-                if is_pooled {
-                    continue;
-                }
-                return ExchangeOutcome::NotSent(error.to_string());
+            let ready_until = if is_pooled { Instant::now() + READY_TIMEOUT } else { deadline };
+            let is_ready = timeout_at(ready_until.min(deadline), connection.sender.ready()).await;
+            match is_ready {
+                Ok(Ok(())) => {}
+                _ if is_pooled && Instant::now() < deadline => continue,
+                Ok(Err(error)) => return ExchangeOutcome::NotSent(error.to_string()),
+                Err(_) => return ExchangeOutcome::NotSent("no connection was ready".to_owned()),
             }
             if !may_send() {
                 return ExchangeOutcome::NotSent("sending is no longer allowed".to_owned());
