fix(gw-gateway): connections that still hold a large body are not pooled

Cause: a target may answer before it has read a request. The response ends what the request is charged for, while its connection, with up to the whole body, goes into the pool: three bodies for each target were counted nowhere.

--- a/crates/gw-gateway/src/entry/relay_attempt.rs
+++ b/crates/gw-gateway/src/entry/relay_attempt.rs
@@ -112,7 +112,8 @@
                 Err(outcome) => outcome,
             }
         }
-        ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed, .. }) => {
+        ExchangeOutcome::Streaming(reply) => {
+            let StreamedReply { head, len, stream, elapsed, .. } = *reply;
             match read_reply(host, request, turn, &head, elapsed) {
                 Ok(()) => {
                     let outcome = AttemptOutcome::Cancelled;
--- a/crates/gw-gateway/src/entry/target_attempt.rs
+++ b/crates/gw-gateway/src/entry/target_attempt.rs
@@ -155,7 +155,8 @@
                 Err(outcome) => outcome,
             }
         }
-        ExchangeOutcome::Streaming(StreamedReply { head, len, stream, elapsed, was_pooled }) => {
+        ExchangeOutcome::Streaming(reply) => {
+            let StreamedReply { head, len, stream, elapsed, was_pooled } = *reply;
             let reply = ReplyHead { head: &head, len, elapsed, was_pooled };
             match classify_reply(host, request, permit, reply) {
                 Ok(permit) => {
--- a/crates/gw-gateway/src/targets/exchange.rs
+++ b/crates/gw-gateway/src/targets/exchange.rs
@@ -61,7 +61,7 @@
     /// A complete response arrived.
     Replied(TargetReply),
     /// A large response has begun to arrive.
-    Streaming(StreamedReply),
+    Streaming(Box<StreamedReply>),
     /// No byte of the request was handed to the connection, so it was not executed.
     NotSent(String),
     /// Something that is not a valid response arrived, as is one with a status that is not final or that
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -66,6 +66,9 @@
 pub(super) struct TargetConnection {
     sender: SendRequest<OutgoingBody>,
     driver: JoinHandle<()>,
+    /// Whether the last request has a body that can still be held in memory, not sent completely,
+    /// after its response: nothing counts it any more then.
+    has_large_body: bool,
 }
 
 impl Drop for TargetConnection {
@@ -181,12 +184,16 @@
         });
     }
 
+    /// Puts a connection into the pool, unless it may still hold much of the body of its last request.
     pub(super) fn keep(
         &self,
         address: SocketAddr,
         connection: TargetConnection,
         idle_time: Duration,
     ) {
+        if connection.has_large_body && !connection.sender.is_ready() {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let of_target = idle.iter().filter(|pooled| pooled.address == address).count();
         if of_target < MAX_IDLE_PER_TARGET {
@@ -224,7 +231,7 @@
             // Errors reach the waiting request through the sender.
             driver.await.ok();
         });
-        Ok(TargetConnection { sender, driver })
+        Ok(TargetConnection { sender, driver, has_large_body: false })
     }
 
     fn record_connect_time(&self, elapsed: Duration) {
@@ -281,6 +288,8 @@
                 return ExchangeOutcome::NotSent("connected after the deadline".to_owned());
             }
             self.path.borrow_mut().record_sent(BootClock.now());
+            let body_bytes = request.body().size_hint().lower();
+            connection.has_large_body = body_bytes > SOCKET_BUFFER_BYTES as u64;
             let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
             if sent.is_ok() {
                 self.path.borrow_mut().record_response();
@@ -355,13 +364,8 @@
         if is_large {
             let (connection, body) = ((connection, idle_time), (received, body, len.is_some()));
             let stream = TargetStream::new(self.clone(), address, connection, body, deadline);
-            return Ok(ExchangeOutcome::Streaming(StreamedReply {
-                head,
-                len,
-                stream,
-                elapsed,
-                was_pooled,
-            }));
+            let reply = StreamedReply { head, len, stream, elapsed, was_pooled };
+            return Ok(ExchangeOutcome::Streaming(Box::new(reply)));
         }
         if let Some(idle_time) = idle_time {
             self.keep(address, connection, idle_time);
