fix(gw-gateway): limits of cold targets begin after the configuration that names them

Traced by the host's log: the leader sends the limits, then the configuration, so that limits that end never outlast their configuration; limits that begin came too early. Change: if no limits are in force, the configuration is sent first.

--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -126,6 +126,12 @@
         }
         self.update_leadership();
         self.complete_reads();
+        // Entry hosts must not apply limits before the configuration that begins them, nor after the
+        // one that ends them.
+        let is_limited = !self.monitor.borrow().warmth.limits().is_empty();
+        if !is_limited {
+            self.push_updates();
+        }
         self.push_warm_up_limits();
         self.push_updates();
     }
