fix(gw-dispatch, gw-gateway, gw-daemon): fingerprints of requests cover the caller's credentials

Cause: a completed request clears the evidence against its fingerprint, which covered method, path, key and body. Answers to other callers of the same path cleared the request that crashes targets. Change: the value of Authorization is a part. Fingerprints without one are those of earlier builds. Callers that are told apart by anything else still share a fingerprint. Result: retries_and_quarantine, answers_to_other_callers_do_not_clear_a_request (new), does not compile before.

--- a/crates/gw-daemon/src/traffic/request_context.rs
+++ b/crates/gw-daemon/src/traffic/request_context.rs
@@ -16,8 +16,10 @@
 use gw_types::TargetEntry;
 use gw_types::TargetName;
 use gw_types::Timestamp;
+use http::HeaderValue;
 use http::Method;
 use http::Uri;
+use http::header;
 use tokio::time::Instant;
 
 use super::body_source::BodySource;
@@ -107,7 +109,7 @@
         }
     }
 
-    /// Returns the fingerprint of method, path, key and body. A body that is not completely
+    /// Returns the fingerprint of method, path, key, caller and body. A body that is not completely
     /// buffered is left out, so that requests that differ only in a long body have the same
     /// fingerprint.
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
@@ -116,7 +118,8 @@
             BodySource::Buffered(bytes) => Some(&bytes[..]),
             _ => None,
         };
-        RequestFingerprint::of(self.head.method.as_str(), path, self.key, body)
+        let caller = self.head.headers.get(header::AUTHORIZATION).map(HeaderValue::as_bytes);
+        RequestFingerprint::of(self.head.method.as_str(), path, self.key, caller, body)
     }
 
     /// Returns whether the target may be tried: no connection to it was lost with this request, and
--- a/crates/gw-dispatch/src/request_fingerprint.rs
+++ b/crates/gw-dispatch/src/request_fingerprint.rs
@@ -13,17 +13,24 @@
     hasher.update(part.unwrap_or_default());
 }
 
-/// Hash of the attributes that identify a request: method, path and query, key and, if it is in
-/// memory as a whole, the body.
+/// Hash of the attributes that identify a request: method, path and query, key, caller and, if it is
+/// in memory as a whole, the body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RequestFingerprint(pub u128);
 
 impl RequestFingerprint {
-    /// Returns the fingerprint of a request. `path` includes the query. `body` is the whole body,
-    /// or `None` if it is not in memory as a whole.
-    pub fn of(method: &str, path: &str, key: Option<KeyHash>, body: Option<&[u8]>) -> Self {
-        let mut hasher = Self::start(method, path, key);
+    /// Returns the fingerprint of a request. `path` includes the query. `caller` are the credentials
+    /// by which the caller is known, if any. `body` is the whole body, or `None` if it is not in memory
+    /// as a whole.
+    pub fn of(
+        method: &str,
+        path: &str,
+        key: Option<KeyHash>,
+        caller: Option<&[u8]>,
+        body: Option<&[u8]>,
+    ) -> Self {
+        let mut hasher = Self::start(method, path, key, caller);
         add_part(&mut hasher, body);
         Self(hasher.digest128())
     }
@@ -33,20 +40,25 @@
         method: &str,
         path: &str,
         key: Option<KeyHash>,
+        caller: Option<&[u8]>,
         len: usize,
         segments: impl Iterator<Item = &'a [u8]>,
     ) -> Self {
-        let mut hasher = Self::start(method, path, key);
+        let mut hasher = Self::start(method, path, key, caller);
         hasher.update(&(len as u64).to_le_bytes());
         segments.for_each(|segment| hasher.update(segment));
         Self(hasher.digest128())
     }
 
-    fn start(method: &str, path: &str, key: Option<KeyHash>) -> Xxh3Default {
+    fn start(method: &str, path: &str, key: Option<KeyHash>, caller: Option<&[u8]>) -> Xxh3Default {
         let mut hasher = Xxh3Default::new();
         add_part(&mut hasher, Some(method.as_bytes()));
         add_part(&mut hasher, Some(path.as_bytes()));
         add_part(&mut hasher, key.map(|key| key.0.to_le_bytes()).as_ref().map(|key| &key[..]));
+        // Without credentials, fingerprints equal those of earlier builds.
+        if caller.is_some() {
+            add_part(&mut hasher, caller);
+        }
         hasher
     }
 }
--- a/crates/gw-dispatch/tests/retries_and_quarantine.rs
+++ b/crates/gw-dispatch/tests/retries_and_quarantine.rs
@@ -346,3 +346,27 @@
         assert_eq!(quarantine.verdict(now, fatal, CRASH_LIMIT), CrashVerdict::Refused, "{number}");
     }
 }
+
+/// Guards against a request that crashes targets and is cleared by the answers to other callers of the
+/// same path, so that it is never refused.
+#[test]
+fn answers_to_other_callers_do_not_clear_a_request() {
+    struct Case {
+        name: &'static str,
+        caller: Option<&'static [u8]>,
+        is_same: bool,
+    }
+    let of = |caller| {
+        let body = [&b"sl"[..], b"ip"];
+        RequestFingerprint::of_segments("GET", "/slips/a", None, caller, 4, body.into_iter())
+    };
+    let crashing = of(Some(b"Bearer a"));
+    let cases = [
+        Case { name: "the same caller", caller: Some(b"Bearer a"), is_same: true },
+        Case { name: "another caller", caller: Some(b"Bearer b"), is_same: false },
+        Case { name: "a caller without a name", caller: None, is_same: false },
+    ];
+    for case in cases {
+        assert_eq!(of(case.caller) == crashing, case.is_same, "{}", case.name);
+    }
+}
--- a/crates/gw-gateway/src/entry/read_request.rs
+++ b/crates/gw-gateway/src/entry/read_request.rs
@@ -5,6 +5,7 @@
 use gw_pipeline::RequestBody;
 use gw_routing::RouteRule;
 use gw_types::KeyHash;
+use http::HeaderValue;
 use http::StatusCode;
 use http::header;
 use http::request;
@@ -115,6 +116,7 @@
         head.method.as_str(),
         path,
         key_hash,
+        head.headers.get(header::AUTHORIZATION).map(HeaderValue::as_bytes),
         body.len(),
         body.segments().map(|segment| &segment[..]),
     );
