fix(gw-gateway): large requests have connections of their own, which targets may leave unread

Cause: TCP_USER_TIMEOUT of 1.5 s, which finds peers that are gone, ends connections whose peer reads nothing for that long, too, once the buffers of both kernels are full. Change: requests with more than 64 KiB, the size of a send buffer, get a new connection without that time-out, which is not pooled. A lost path shows at their deadline. Smaller requests never wait for a closed window of an idle target and keep the time-out.

--- a/crates/gw-gateway/src/targets/socket_options.rs
+++ b/crates/gw-gateway/src/targets/socket_options.rs
@@ -16,6 +16,13 @@
     Ok(())
 }
 
+/// Lets a peer leave data unread for any time. The kernel applies the time-out for unacknowledged data
+/// to a closed window as well, although the peer answers its probes.
+pub(crate) fn allow_slow_reading(stream: &TcpStream) -> io::Result<()> {
+    sockopt::set_tcp_user_timeout(stream, 0)?;
+    Ok(())
+}
+
 /// Bounds what the kernel buffers for a connection in each direction, or for those that a listener
 /// accepts. Without this, it buffers up to several megabytes for a peer that does not read.
 pub(crate) fn set_buffer_sizes(socket: impl AsFd, bytes: usize) -> io::Result<()> {
--- a/crates/gw-gateway/src/targets/target_connections.rs
+++ b/crates/gw-gateway/src/targets/target_connections.rs
@@ -35,6 +35,7 @@
 use crate::targets::TargetStream;
 use crate::targets::set_buffer_sizes;
 use crate::targets::set_socket_options;
+use crate::targets::socket_options::allow_slow_reading;
 use crate::targets::socket_options::reset_on_close;
 
 /// Longest time to establish a connection; a healthy target takes a few milliseconds.
@@ -66,9 +67,10 @@
 pub(super) struct TargetConnection {
     sender: SendRequest<OutgoingBody>,
     driver: JoinHandle<()>,
-    /// Whether the last request has a body that can still be held in memory, not sent completely,
-    /// after its response: nothing counts it any more then.
-    has_large_body: bool,
+    /// Whether the connection is for one request with a body that the buffers of the kernel do not hold.
+    /// Such a connection is not pooled: after a response to a part of the request, it would hold the
+    /// rest of the body, which nothing counts any more.
+    is_for_large_body: bool,
 }
 
 impl Drop for TargetConnection {
@@ -149,7 +151,7 @@
 
     /// Whether a connection to `address` can be opened. The connection is kept for requests.
     pub(crate) async fn probe(&self, address: SocketAddr) -> bool {
-        match self.connect(address, Instant::now() + CONNECT_TIMEOUT).await {
+        match self.connect(address, Instant::now() + CONNECT_TIMEOUT, false).await {
             Ok(connection) => {
                 self.keep(address, connection, DEFAULT_IDLE_TIME);
                 true
@@ -175,7 +177,8 @@
         let connections = self.clone();
         spawn_local(async move {
             // A target that cannot be reached is noticed by the next order.
-            let connected = connections.connect(address, Instant::now() + CONNECT_TIMEOUT).await;
+            let connected =
+                connections.connect(address, Instant::now() + CONNECT_TIMEOUT, false).await;
             let Ok(connection) = connected else { return };
             let idle_since = Instant::now();
             let usable_until = idle_since + AHEAD_TIME;
@@ -184,14 +187,14 @@
         });
     }
 
-    /// Puts a connection into the pool, unless it may still hold much of the body of its last request.
+    /// Puts a connection into the pool, unless it was for a large body.
     pub(super) fn keep(
         &self,
         address: SocketAddr,
         connection: TargetConnection,
         idle_time: Duration,
     ) {
-        if connection.has_large_body && !connection.sender.is_ready() {
+        if connection.is_for_large_body {
             return;
         }
         let mut idle = self.idle.borrow_mut();
@@ -207,6 +210,7 @@
         &self,
         address: SocketAddr,
         deadline: Instant,
+        is_for_large_body: bool,
     ) -> Result<TargetConnection, String> {
         let started = Instant::now();
         let until = deadline.min(started + CONNECT_TIMEOUT);
@@ -221,7 +225,8 @@
         self.record_connect_time(started.elapsed());
         let configured = set_socket_options(&stream)
             .and_then(|()| set_buffer_sizes(&stream, SOCKET_BUFFER_BYTES))
-            .and_then(|()| reset_on_close(&stream));
+            .and_then(|()| reset_on_close(&stream))
+            .and_then(|()| if is_for_large_body { allow_slow_reading(&stream) } else { Ok(()) });
         configured.map_err(|error| error.to_string())?;
         self.opened.set(self.opened.get() + 1);
         let handshake =
@@ -231,7 +236,7 @@
             // Errors reach the waiting request through the sender.
             driver.await.ok();
         });
-        Ok(TargetConnection { sender, driver, has_large_body: false })
+        Ok(TargetConnection { sender, driver, is_for_large_body })
     }
 
     fn record_connect_time(&self, elapsed: Duration) {
@@ -254,8 +259,10 @@
     ) -> ExchangeOutcome {
         let deadline = options.deadline;
         let mut request = request;
+        let is_large = request.body().size_hint().lower() > SOCKET_BUFFER_BYTES as u64;
         loop {
             let pooled = match options.connection {
+                _ if is_large => None,
                 ConnectionUse::Shared { max_idle } => take_newest(&self.idle, address, max_idle),
                 ConnectionUse::Exclusive => take_newest(&self.ahead, address, AHEAD_TIME),
             };
@@ -266,7 +273,7 @@
                 None if self.path.borrow().is_lost() => {
                     return ExchangeOutcome::NotSent("no open connection".to_owned());
                 }
-                None => match self.connect(address, deadline).await {
+                None => match self.connect(address, deadline, is_large).await {
                     Ok(connection) => connection,
                     Err(cause) => return ExchangeOutcome::NotSent(cause),
                 },
@@ -288,8 +295,6 @@
                 return ExchangeOutcome::NotSent("connected after the deadline".to_owned());
             }
             self.path.borrow_mut().record_sent(BootClock.now());
-            let body_bytes = request.body().size_hint().lower();
-            connection.has_large_body = body_bytes > SOCKET_BUFFER_BYTES as u64;
             let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
             if sent.is_ok() {
                 self.path.borrow_mut().record_response();
