--- a/review/stand_ins_3/common.rs
+++ b/review/stand_ins_3/common.rs
@@ -327,9 +327,16 @@
         names.sort();
         for name in names {
             let text = fs::read_to_string(self.folder.join(&name)).unwrap_or_default();
-            let lines: Vec<&str> =
+            let mut lines: Vec<&str> =
                 text.lines().filter(|line| words.iter().any(|word| line.contains(word))).collect();
-            for line in lines.iter().rev().take(12).rev() {
+            // Repeated each two seconds; the last one is enough.
+            let last_alarm = lines.iter().rposition(|line| line.contains("event=majority_lost"));
+            let mut index = 0;
+            lines.retain(|line| {
+                index += 1;
+                !line.contains("event=majority_lost") || Some(index - 1) == last_alarm
+            });
+            for line in lines.iter().rev().take(16).rev() {
                 self.record.write(&format!("log {name}: {line}"));
             }
         }
