feat(gw-agreement): voters can be made learners and back by the caller

Cause: the only way for a replica to lose its vote was its removal, which costs its id and its disk, and a learner became a voter by itself as soon as it had caught up. Who votes could not be decided by what the group has to bear.

Change: MembershipChange::Promote and Demote; ReplicaOptions::promotes_learners, true by default; MemberStatus::caught_up_at. The encoded Membership is as before, so earlier builds read it.

--- a/crates/gw-agreement/src/leader_replication.rs
+++ b/crates/gw-agreement/src/leader_replication.rs
@@ -253,6 +253,7 @@
                 member.record_contact(sent_at.min(now));
                 member.record_match(now, match_index);
                 self.advance_commit(now);
+                self.record_caught_up(now, from);
                 self.promote_learner(now, from);
                 self.send_timeout_now();
             }
@@ -336,13 +337,24 @@
         hosts.into_iter().for_each(|host| self.send_heartbeat(now, host));
     }
 
+    /// Records that a member has synced all committed entries, if it has.
+    fn record_caught_up(&mut self, now: Timestamp, host: HostId) {
+        let commit_index = self.commit_index;
+        let state = self.role.leader_state_mut();
+        let member = state.and_then(|state| state.member_mut(host));
+        if let Some(member) = member.filter(|member| member.match_index >= commit_index) {
+            member.caught_up_at = Some(now);
+        }
+    }
+
     /// Promotes a learner to voter once it has synced all committed entries.
     fn promote_learner(&mut self, now: Timestamp, host: HostId) {
         let membership = self.log.membership();
         let member = self.role.leader_state().and_then(|state| state.member(host));
         let caught_up = member.is_some_and(|member| member.match_index >= self.commit_index);
         let is_learner = membership.contains(host) && !membership.is_voter(host);
-        if is_learner
+        if self.options.promotes_learners
+            && is_learner
             && caught_up
             && self.can_change_membership()
             && self.check_proposal(now).is_ok()
--- a/crates/gw-agreement/src/member_progress.rs
+++ b/crates/gw-agreement/src/member_progress.rs
@@ -43,6 +43,8 @@
     losses: u32,
     /// Send time of the latest message that the member has responded to.
     pub(crate) last_contact: Option<Timestamp>,
+    /// When the member last reported to have synced all entries that were committed by then.
+    pub(crate) caught_up_at: Option<Timestamp>,
     pub(crate) snapshot: Option<SnapshotTransfer>,
 }
 
@@ -75,6 +77,7 @@
             progress_at: Timestamp::ZERO,
             losses: 0,
             last_contact: None,
+            caught_up_at: None,
             snapshot: None,
         }
     }
--- a/crates/gw-agreement/src/member_status.rs
+++ b/crates/gw-agreement/src/member_status.rs
@@ -15,6 +15,9 @@
     /// Send time of the latest message that the member has responded to. `None` before its first
     /// response.
     pub last_contact: Option<Timestamp>,
+    /// When the member last reported to have synced all entries that were committed by then. `None` if
+    /// it never did so to this leader.
+    pub caught_up_at: Option<Timestamp>,
     /// Whether the leader is sending a snapshot to the member.
     pub receives_snapshot: bool,
 }
--- a/crates/gw-agreement/src/membership.rs
+++ b/crates/gw-agreement/src/membership.rs
@@ -11,11 +11,15 @@
     learners: Vec<HostId>,
 }
 
-/// Addition or removal of one member.
+/// Change of one member. Any majority before it intersects any majority after it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MembershipChange {
-    /// Adds a learner. The leader promotes it to voter once it has synced all committed entries.
+    /// Adds a learner. See [`ReplicaOptions::promotes_learners`](crate::ReplicaOptions).
     Add(HostId),
+    /// Makes a learner a voter.
+    Promote(HostId),
+    /// Makes a voter a learner, which keeps its id and its log.
+    Demote(HostId),
     /// Removes a voter or learner.
     Remove(HostId),
 }
@@ -77,6 +81,13 @@
             MembershipChange::Add(host) if !self.contains(host) => {
                 insert(&mut changed.learners, host)
             }
+            MembershipChange::Promote(host) if self.learners.binary_search(&host).is_ok() => {
+                changed = self.promoted(host);
+            }
+            MembershipChange::Demote(host) if self.is_voter(host) => {
+                changed.voters.retain(|&voter| voter != host);
+                insert(&mut changed.learners, host);
+            }
             MembershipChange::Remove(host) if self.contains(host) => {
                 changed.voters.retain(|&voter| voter != host);
                 changed.learners.retain(|&learner| learner != host);
--- a/crates/gw-agreement/src/message.rs
+++ b/crates/gw-agreement/src/message.rs
@@ -28,6 +28,13 @@
     pub body: MessageBody,
 }
 
+impl Message {
+    /// Returns whether only a leader sends such a message.
+    pub fn is_from_leader(&self) -> bool {
+        matches!(self.body, MessageBody::Append { .. } | MessageBody::SnapshotChunk { .. })
+    }
+}
+
 /// Type and content of a [`Message`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MessageBody {
--- a/crates/gw-agreement/src/replica_node.rs
+++ b/crates/gw-agreement/src/replica_node.rs
@@ -445,6 +445,7 @@
             voter: self.log.membership().is_voter(member.host),
             match_index: member.match_index,
             last_contact: member.last_contact,
+            caught_up_at: member.caught_up_at,
             receives_snapshot: member.snapshot.is_some(),
         });
         status.collect()
--- a/crates/gw-agreement/src/replica_options.rs
+++ b/crates/gw-agreement/src/replica_options.rs
@@ -12,6 +12,9 @@
     /// Membership of a new group, the same on all its first members. Empty for a replica that is to
     /// be added to an existing group. Ignored once a snapshot was recovered.
     pub initial_membership: Membership,
+    /// Whether the leader makes a learner a voter as soon as it has synced all committed entries.
+    /// Otherwise the caller does, with [`MembershipChange::Promote`](crate::MembershipChange).
+    pub promotes_learners: bool,
     /// Interval between heartbeats of a leader.
     pub heartbeat_interval: Duration,
     /// Shortest election timeout. A voter that heard from a leader within this time grants no vote,
@@ -73,6 +76,7 @@
         Self {
             id,
             initial_membership,
+            promotes_learners: true,
             heartbeat_interval: Duration::from_millis(100),
             election_timeout_min: Duration::from_millis(500),
             election_timeout_max: Duration::from_millis(700),
