fix(gw-fleet, gw-gateway): votes in the control group follow fault-tolerance, not windows of time

Cause: the leader decided by windows, silences and counts whom it removes. Nothing read fault-tolerance.

Change: gw_fleet::SeatPolicy. A vote is given up only if 2f + 1 voters remain; a successor is promoted, once it has caught up, before the vote that it replaces goes; a host that is silent or told to stop becomes a learner, with its id and its disk. A second host of a zone stands by where its vote would take the group's tolerance of a lost zone. Successors of lost disks follow from the replicated records, demotions are in the log; nothing is counted. A host that stops and is given the leadership hands it on. lost_replica, Successor and ReplacementWindow are gone, with their tables: the new tables cover their cases under the new rule. control_join waits until the removed hosts are removed as learners too, as they are demoted first.

--- a/crates/gw-fleet/src/fleet_state.rs
+++ b/crates/gw-fleet/src/fleet_state.rs
@@ -248,6 +248,14 @@
         &self.replicas
     }
 
+    /// Returns the replica that the host of the replica `id` has become after the loss of its disk: it
+    /// joins again at the same address under a higher id.
+    pub fn replica_successor(&self, id: HostId) -> Option<HostId> {
+        let record = self.replicas.iter().find(|replica| replica.id == id)?;
+        let latest = self.replicas.iter().rfind(|other| other.peers == record.peers)?;
+        (latest.id > id).then_some(latest.id)
+    }
+
     /// Returns whether the replica `id` was part of the group and has been removed.
     pub fn is_removed(&self, id: HostId) -> bool {
         id.0 <= self.last_replica && !self.replicas.iter().any(|replica| replica.id == id)
--- a/crates/gw-gateway/src/control/control_host.rs
+++ b/crates/gw-gateway/src/control/control_host.rs
@@ -14,7 +14,6 @@
 use gw_dispatch::CrashQuarantine;
 use gw_dispatch::QuarantineOptions;
 use gw_fleet::FleetCommand;
-use gw_fleet::ReplacementWindow;
 use gw_fleet::RunReplacements;
 use gw_fleet::TargetPhase;
 use gw_fleet::TargetRecord;
@@ -24,6 +23,7 @@
 use gw_types::HostId;
 use gw_types::TargetName;
 use gw_types::Timestamp;
+use gw_types::ZoneName;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc::UnboundedSender;
@@ -153,8 +153,10 @@
     pub(crate) majority_seen_at: Cell<Timestamp>,
     /// When this leader first saw each other replica as a member.
     pub(crate) first_seen: RefCell<BTreeMap<HostId, Timestamp>>,
-    /// Whether a replica has recently joined in place of another one.
-    pub(crate) replacement: Cell<ReplacementWindow>,
+    /// When replicas last announced that their hosts were told to stop.
+    pub(crate) leaving: RefCell<BTreeMap<HostId, Timestamp>>,
+    /// Availability zones of the control hosts to which this host has opened a connection, by address.
+    pub(crate) control_zones: RefCell<BTreeMap<SocketAddr, ZoneName>>,
     /// New replicas, by data folder, for which this leader has proposed a change, and when.
     pub(crate) proposed_joins: RefCell<BTreeMap<u64, Timestamp>>,
     /// When another control host was last heard over a connection, by its address. Known on
@@ -216,7 +218,8 @@
             cold: RefCell::new(ColdDuty::new(clock.now(), &settings)),
             majority_seen_at: Cell::new(clock.now()),
             first_seen: RefCell::default(),
-            replacement: Cell::default(),
+            leaving: RefCell::default(),
+            control_zones: RefCell::default(),
             proposed_joins: RefCell::default(),
             heard_hosts: RefCell::default(),
             pending_calls: RefCell::default(),
@@ -336,7 +339,7 @@
     }
 
     /// Returns the leader this replica last heard from, if the contact is recent.
-    fn recent_leader(&self) -> Option<HostId> {
+    pub(crate) fn recent_leader(&self) -> Option<HostId> {
         let now = self.now();
         let replica = self.replica.borrow();
         let node = &replica.as_ref()?.node;
--- a/crates/gw-gateway/src/control/group_membership.rs
+++ b/crates/gw-gateway/src/control/group_membership.rs
@@ -8,9 +8,9 @@
 use gw_agreement::ReplicaNode;
 use gw_fleet::FleetCommand;
 use gw_fleet::ReplicaRecord;
-use gw_fleet::ReplicaView;
-use gw_fleet::Successor;
-use gw_fleet::lost_replica;
+use gw_fleet::SeatPolicy;
+use gw_fleet::SeatView;
+use gw_fleet::VoteChange;
 use gw_types::HostId;
 use gw_types::Timestamp;
 
@@ -28,6 +28,9 @@
 
 /// Shortest time between two changes for the same new replica. Shorter than that between its requests.
 const JOIN_INTERVAL: Duration = Duration::from_millis(200);
+/// Time without a repetition after which a host that announced its stop counts as started again. It
+/// repeats the announcement with each response, ten times a second.
+const LEAVING_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl ControlHost {
     /// Loads this replica's identity, or creates one: that of an initial member at the first start
@@ -124,16 +127,9 @@
             return;
         }
         // The replica that had this address has lost its disk, and with it its votes and
-        // acknowledged log entries. It must not continue under its old id.
-        if let Some(old) = replicas.iter().find(|replica| replica.peers == peers) {
+        // acknowledged log entries. The host must not continue under its old id.
+        if let Some(old) = replicas.iter().rfind(|replica| replica.peers == peers) {
             log::warn!("event=replica_lost_disk id={} peers={peers}", old.id.0);
-            self.propose(FleetCommand::RemoveReplica { id: old.id });
-            return;
-        }
-        if let Some(id) = lost_replica(&self.replica_views(), Successor::Waiting) {
-            log::warn!("event=replica_replaced id={} by={peers}", id.0);
-            self.propose(FleetCommand::RemoveReplica { id });
-            return;
         }
         log::info!("event=replica_joins folder={folder:x} peers={peers}");
         self.propose(FleetCommand::AddReplica { folder, peers, calls });
@@ -239,24 +235,26 @@
 
     /// Tells the leader that this host has been told to stop.
     pub(crate) fn announce_leaving(&self) {
+        if let Some(leader) = self.recent_leader() {
+            self.announce_leaving_to(leader);
+        }
+    }
+
+    /// Tells another replica that this host has been told to stop, if it has.
+    pub(crate) fn announce_leaving_to(&self, replica: HostId) {
         let id = self.identity.borrow().as_ref().and_then(|identity| identity.id);
-        if let Some((id, link)) = id.zip(self.leader_link()) {
+        if let Some(id) = id.filter(|_| self.is_stopping.get())
+            && let Some(link) = self.link_to(replica)
+        {
             link.send(&LinkMessage::Leaving { id });
         }
     }
 
-    /// Handles the announcement of a replica whose host was told to stop. As leader, removes it at
-    /// once if another one has just joined in its place; otherwise its host will be back.
+    /// Handles the announcement of a replica whose host was told to stop. Whether it gives up its vote
+    /// is for [`ControlHost::review_votes`]: its host may only be restarted.
     pub(crate) fn handle_leaving(&self, id: HostId) {
-        if !self.is_confirmed_leader() || !self.replacement.get().is_open(self.now()) {
-            return;
-        }
-        let mut others = self.replica_views();
-        let leaving = others.iter_mut().filter(|view| view.id == id);
-        leaving.for_each(|view| view.silence = Duration::MAX);
-        if lost_replica(&others, Successor::Joined) == Some(id) {
+        if self.leaving.borrow_mut().insert(id, self.now()).is_none() {
             log::info!("event=replica_leaves id={}", id.0);
-            self.propose(FleetCommand::RemoveReplica { id });
         }
     }
 
@@ -271,8 +269,8 @@
         let change = {
             let log = self.log.borrow();
             let replicas = log.state().replicas();
-            let mut slot = self.replica.borrow_mut();
-            let Some(replica) = slot.as_mut().filter(|_| !replicas.is_empty()) else { return };
+            let slot = self.replica.borrow();
+            let Some(replica) = slot.as_ref().filter(|_| !replicas.is_empty()) else { return };
             let members = replica.node.membership();
             let is_known = |id: HostId| replicas.iter().any(|known| known.id == id);
             let gone = members.members().find(|id| !is_known(*id));
@@ -281,33 +279,54 @@
                 .map(MembershipChange::Remove)
                 .or_else(|| new.map(|known| MembershipChange::Add(known.id)));
             let Some(change) = change else { return };
-            (change, replica.node.change_membership(self.now(), change))
+            change
         };
-        match change {
-            (change, Ok(index)) => {
+        self.change_membership(change);
+    }
+
+    /// Starts a change of the group's membership as leader, unless another one is under way.
+    fn change_membership(&self, change: MembershipChange) {
+        let changed = {
+            let mut slot = self.replica.borrow_mut();
+            let Some(replica) = slot.as_mut() else { return };
+            replica.node.change_membership(self.now(), change)
+        };
+        match changed {
+            Ok(index) => {
                 log::info!("event=members_change index={} {change:?}", index.0);
                 self.drive();
             }
-            (_, Err(error)) => log::debug!("event=members_wait cause=\"{error}\""),
+            Err(error) => log::debug!("event=members_wait cause=\"{error}\""),
         }
     }
 
-    /// Proposes, as leader, the first list of replicas, and the removal of a replica that is lost.
+    /// Proposes, as leader, the first list of replicas, and the removal of learners that do not come
+    /// back.
     pub(crate) fn review_replicas(&self) {
         if self.log.borrow().state().replicas().is_empty() {
             self.record_first_members();
             return;
         }
-        let successor = match self.replacement.get().is_open(self.now()) {
-            true => Successor::Joined,
-            false => Successor::None,
-        };
-        if let Some(id) = lost_replica(&self.replica_views(), successor) {
+        for id in self.seat_policy().abandoned_learners(&self.seats()) {
             log::warn!("event=replica_lost id={}", id.0);
             self.propose(FleetCommand::RemoveReplica { id });
         }
     }
 
+    /// Starts, as leader, the next change of votes in the group, if one is due.
+    pub(crate) fn review_votes(&self) {
+        let change = match self.seat_policy().next_vote_change(&self.seats()) {
+            Some(VoteChange::Promote(id)) => MembershipChange::Promote(id),
+            Some(VoteChange::Demote(id)) => MembershipChange::Demote(id),
+            None => return,
+        };
+        self.change_membership(change);
+    }
+
+    fn seat_policy(&self) -> SeatPolicy {
+        SeatPolicy::new(self.settings.borrow().fault_tolerance)
+    }
+
     /// Records when the control hosts to which this host has connections were last heard.
     pub(crate) fn record_heard_hosts(&self) {
         let mut heard = self.heard_hosts.borrow_mut();
@@ -316,17 +335,44 @@
         }
     }
 
-    /// Returns the other replicas with the time since each was last heard.
-    fn replica_views(&self) -> Vec<ReplicaView> {
+    /// Returns the members of the group as this leader sees them.
+    fn seats(&self) -> Vec<SeatView> {
         let now = self.now();
         let replica = self.replica.borrow();
-        let Some(replica) = replica.as_ref() else { return Vec::new() };
-        let status = replica.node.member_status();
+        let Some(node) = replica.as_ref().map(|replica| &replica.node) else { return Vec::new() };
+        self.leaving.borrow_mut().retain(|_, at| now.since(*at) < LEAVING_TIMEOUT);
+        let status = node.member_status();
         self.first_seen.borrow_mut().retain(|id, _| status.iter().any(|member| member.host == *id));
-        let others = status.iter().filter(|member| member.host != replica.node.id());
-        others
-            .map(|member| ReplicaView { id: member.host, silence: self.silence(now, member) })
-            .collect()
+        let own = SeatView {
+            id: node.id(),
+            zone: Some(self.settings.borrow().zone.clone()),
+            is_leader: true,
+            is_voter: node.membership().is_voter(node.id()),
+            silence: Duration::ZERO,
+            is_caught_up: true,
+            is_leaving: false,
+            successor: None,
+        };
+        status.iter().map(|member| self.seat(now, member)).chain([own]).collect()
+    }
+
+    fn seat(&self, now: Timestamp, member: &MemberStatus) -> SeatView {
+        let log = self.log.borrow();
+        let mut replicas = log.state().replicas().iter();
+        let record = replicas.find(|replica| replica.id == member.host);
+        let zones = self.control_zones.borrow();
+        SeatView {
+            id: member.host,
+            zone: record.and_then(|record| zones.get(&record.peers).cloned()),
+            is_leader: false,
+            is_voter: member.voter,
+            silence: self.silence(now, member),
+            is_caught_up: member
+                .caught_up_at
+                .is_some_and(|caught_up| now.since(caught_up) < CONTACT_TIMEOUT),
+            is_leaving: self.leaving.borrow().contains_key(&member.host),
+            successor: log.state().replica_successor(member.host),
+        }
     }
 
     /// Returns the time since a member responded to this leader. For a member that never did, the
--- a/crates/gw-gateway/src/control/peer_links.rs
+++ b/crates/gw-gateway/src/control/peer_links.rs
@@ -143,7 +143,11 @@
         match message {
             LinkMessage::Hello { host: name, zone, kind, relay } => {
                 log::info!("event=host_connected host={name} zone={zone} kind={kind:?}");
+                let mut zones = host.control_zones.borrow_mut();
                 update_link(host, &link, |known| {
+                    if known.is_outbound {
+                        zones.insert(known.peer, zone.clone());
+                    }
                     known.hello = Some((name, zone, kind));
                     known.relay = relay;
                     known.awaits_head = kind == HostKind::Entry;
--- a/crates/gw-gateway/src/control/replica_driver.rs
+++ b/crates/gw-gateway/src/control/replica_driver.rs
@@ -1,4 +1,3 @@
-use std::cmp::Ordering;
 use std::time::Duration;
 
 use gw_agreement::EntryPayload;
@@ -37,6 +36,10 @@
     /// Handles a consensus message of another replica.
     pub(crate) fn handle_agreement(&self, from: HostId, message: Message) {
         let now = self.now();
+        if message.is_from_leader() {
+            // Precedes the response, so that a new leader does not give this replica a vote again.
+            self.announce_leaving_to(from);
+        }
         let has_same_role = {
             let mut slot = self.replica.borrow_mut();
             let Some(replica) = slot.as_mut() else { return };
@@ -170,7 +173,6 @@
                 None
             }
         };
-        let count_before = self.log.borrow().state().replicas().len();
         let previous_run = match &command {
             Some(FleetCommand::PutTarget(record)) => {
                 self.log.borrow().state().latest_run(&record.name)
@@ -178,7 +180,6 @@
             _ => None,
         };
         let outcome = self.log.borrow_mut().apply(index, command.as_ref());
-        self.record_replacement(count_before);
         if let (Some(command), Some(outcome)) = (&command, outcome) {
             if let FleetCommand::PutTarget(record) = command {
                 // The target announced itself a moment ago, possibly to another replica.
@@ -212,18 +213,6 @@
         }
     }
 
-    /// Records whether a command has added a replica to a formed group or removed one.
-    fn record_replacement(&self, count_before: usize) {
-        let count = self.log.borrow().state().replicas().len();
-        let mut window = self.replacement.get();
-        match count.cmp(&count_before) {
-            Ordering::Greater if count_before > 0 => window.record_added(self.now()),
-            Ordering::Less => window.record_removed(self.now()),
-            _ => return,
-        }
-        self.replacement.set(window);
-    }
-
     fn save_snapshot(&self, replica: &mut Replica) {
         let log = self.log.borrow();
         let is_due = log.applied() >= replica.last_snapshot + SNAPSHOT_INTERVAL_ENTRIES
--- a/crates/gw-gateway/src/control/replica_journal.rs
+++ b/crates/gw-gateway/src/control/replica_journal.rs
@@ -76,6 +76,7 @@
             max_uncommitted_bytes: self.bounds.uncommitted,
             snapshot_chunk_bytes: self.bounds.snapshot_chunk,
             retained_bytes: self.bounds.retained,
+            promotes_learners: false,
             ..ReplicaOptions::new(id, members, rand::random())
         }
     }
--- a/crates/gw-gateway/src/control/run_control.rs
+++ b/crates/gw-gateway/src/control/run_control.rs
@@ -122,15 +122,24 @@
 /// Hands the leadership over to another replica before this process ends.
 fn step_down(host: &ControlHost) {
     host.is_stopping.set(true);
+    log::info!("event=stopping");
+    hand_over(host);
+    host.announce_leaving();
+}
+
+/// Starts to hand the leadership over, if this host has it.
+fn hand_over(host: &ControlHost) {
     let now = host.now();
     let transferred = {
         let mut replica = host.replica.borrow_mut();
         let leading = replica.as_mut().filter(|replica| replica.node.is_leader());
         leading.map(|replica| replica.node.transfer_leadership(now))
     };
-    log::info!("event=stopping transfer={transferred:?}");
-    host.drive();
-    host.announce_leaving();
+    // An error says that a transfer is under way or that the leadership is being lost.
+    if let Some(Ok(to)) = transferred {
+        log::info!("event=leadership_handed_over to={}", to.0);
+        host.drive();
+    }
 }
 
 fn tick(
@@ -145,6 +154,11 @@
     let leads = host.is_confirmed_leader() && !host.is_stopping.get();
     if leads {
         host.reconcile_members();
+        host.review_votes();
+    }
+    if host.is_stopping.get() {
+        // Another host that stops may have handed the leadership to this one.
+        hand_over(host);
     }
     step_granters(host, unreachable);
     send_cold_targets(host, round == 0);
--- a/crates/gw-gateway/src/settings.rs
+++ b/crates/gw-gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use gw_fleet::FaultTolerance;
 use gw_types::HostName;
 use gw_types::ZoneName;
 
@@ -55,6 +56,8 @@
     /// `control_address` of some control hosts. At the first start of the system these are exactly
     /// the initial members of the control group.
     pub seeds: Vec<SocketAddr>,
+    /// Losses of control hosts that the group has to bear.
+    pub fault_tolerance: FaultTolerance,
     /// Retry budget of a service over all hosts, as a fraction of its requests.
     pub retry_share: f64,
     /// Retries that a service may make within 10 s over all hosts, in addition to `retry_share`.
