fix(gw-gateway, gw-fleet): entries of unnamed services leave the targets at their addresses alone

Cause: an entry removes the target at its address if it says to have started later, whatever its service is, and announcements of the removed run count as late for ever. contradicts_service, which keeps such entries from known targets, looked at the target of the same name only. Related: an entry that came first kept a real target with an earlier start from being registered; one under the name of a target that was removed as silent, with a late start, kept it from coming back.

Change: contradicts_service looks at names and addresses, of registered and of silent targets. A real target whose address an unnamed one occupies has that one removed first. Both are decided before a command is proposed, so replicas of earlier builds apply the same log alike.

--- a/crates/gw-fleet/src/fleet_state.rs
+++ b/crates/gw-fleet/src/fleet_state.rs
@@ -343,13 +343,32 @@
         has_departed || self.latest_run(&record.name).is_some_and(|run| run > record.run)
     }
 
-    /// Returns whether an announcement names a service that the configuration does not name, for a
-    /// target that is known with one that it names. Such an announcement comes from another writer.
+    /// Returns whether an announcement names a service that the configuration does not name, with the
+    /// name or the address of a target of one that it names, or of one that was silent. Such an
+    /// announcement comes from another writer and must change nothing about that target.
     pub fn contradicts_service(&self, record: &TargetRecord) -> bool {
-        let Some(config) = self.config() else { return false };
-        let is_named = |service: &ServiceName| config.service(service).is_some();
-        let known = self.target(&record.name);
-        known.is_some_and(|known| is_named(&known.service)) && !is_named(&record.service)
+        let silent = self.departed.iter().filter(|left| left.cause == DepartureCause::Silent);
+        let mut known = self.targets.iter().chain(silent.map(|departed| &departed.record));
+        self.config.is_some()
+            && !self.names_service(record)
+            && known.any(|known| {
+                (known.name == record.name || known.address == record.address)
+                    && self.names_service(known)
+            })
+    }
+
+    /// Returns the target that keeps an announcement from being registered, as a later run at the same
+    /// address, although the configuration names only the service of the announcement.
+    pub fn misplaced_target(&self, record: &TargetRecord) -> Option<RangeHolder> {
+        let is_misplaced = |other: &&TargetRecord| {
+            other.address == record.address && other.name != record.name && other.run > record.run
+        };
+        let other = self.targets.iter().find(is_misplaced)?;
+        (self.names_service(record) && !self.names_service(other)).then(|| other.holder())
+    }
+
+    fn names_service(&self, record: &TargetRecord) -> bool {
+        self.config().is_some_and(|config| config.service(&record.service).is_some())
     }
 
     /// Returns the range table of `service`; `None` if none of its ranges was ever assigned.
--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -2,9 +2,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gw_fleet::DepartureCause;
 use gw_fleet::FleetCommand;
 use gw_fleet::FleetOutcome;
 use gw_fleet::ZoneEvacuation;
+use gw_ranges::RangeHolder;
 use gw_types::TargetName;
 use http::Request;
 use http::Response;
@@ -128,6 +130,15 @@
         log::warn!("event=odd_announcement target={} service={}", record.holder(), record.service);
         return ControlReply::Accepted;
     }
+    let misplaced = host.log.borrow().state().misplaced_target(record);
+    if let Some(RangeHolder { target: name, run }) = misplaced {
+        log::warn!("event=misplaced_target target={name} run={run} by={}", record.holder());
+        let cause = DepartureCause::Silent;
+        let command = FleetCommand::RemoveTarget { name, run: Some(run), cause };
+        if let Err(reply) = commit(host, command).await {
+            return reply;
+        }
+    }
     let is_newest = host.monitor.borrow_mut().record_announcement(now, &announcement);
     if !is_newest {
         return ControlReply::Accepted;
