--- a/crates/gw-agreement/tests/harness/schedule.rs
+++ b/crates/gw-agreement/tests/harness/schedule.rs
@@ -96,9 +96,12 @@
             };
         }
         11 if group.spares > 0 => {
-            let remove = rng.percent(40);
-            let change =
-                if remove { MembershipChange::Remove(host) } else { MembershipChange::Add(host) };
+            let change = match rng.below(10) {
+                0..=2 => MembershipChange::Remove(host),
+                3 | 4 => MembershipChange::Demote(host),
+                5 => MembershipChange::Promote(host),
+                _ => MembershipChange::Add(host),
+            };
             cluster.with_replica(affected, |running, now| {
                 let _ = running.node.change_membership(now, change);
             })?;
--- a/crates/gw-fleet/src/lib.rs
+++ b/crates/gw-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod control_choice;
 mod departed_target;
+mod departure_reason;
 mod fault_tolerance;
 mod fleet_command;
 mod fleet_state;
@@ -22,6 +23,7 @@
 mod state_fetch;
 mod stored_config;
 mod target_record;
+mod vote_change;
 mod zone_evacuation;
 
 pub use control_choice::ControlChoice;
@@ -39,10 +41,10 @@
 pub use run_replacements::RunReplacements;
 pub use seat_policy::SeatPolicy;
 pub use seat_view::SeatView;
-pub use seat_view::VoteChange;
 pub use state_fetch::LinkProgress;
 pub use state_fetch::StateFetch;
 pub use stored_config::StoredConfig;
 pub use target_record::TargetPhase;
 pub use target_record::TargetRecord;
+pub use vote_change::VoteChange;
 pub use zone_evacuation::ZoneEvacuation;
--- a/crates/gw-fleet/src/seat_policy.rs
+++ b/crates/gw-fleet/src/seat_policy.rs
@@ -6,25 +6,13 @@
 use crate::FaultTolerance;
 use crate::SeatView;
 use crate::VoteChange;
+use crate::departure_reason::DepartureReason;
 
-/// Silence after which a voter may lose its vote. Longer than an election and the restart of a process.
-const VOTE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Silence up to which a learner can take over a vote.
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Silence after which a learner is removed from the group. Longer than the restart of a host.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// Why a voter is to lose its vote, the most urgent reason last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum DepartureReason {
-    /// The host was told to stop, and may come back.
-    Leaving,
-    /// The host has been silent for too long. Its disk may be whole.
-    Silent,
-    /// The host has lost its disk, and with it what the replica has promised.
-    DiskLost,
-}
-
 /// Decides who votes in the control group.
 ///
 /// A replica that is down does not count towards a majority but raises the number of votes that a
@@ -53,7 +41,7 @@
     pub fn next_vote_change(&self, seats: &[SeatView]) -> Option<VoteChange> {
         let voters: Vec<&SeatView> = seats.iter().filter(|seat| seat.is_voter).collect();
         let mut departing: Vec<_> =
-            voters.iter().filter_map(|seat| Some((departure(seat)?, *seat))).collect();
+            voters.iter().filter_map(|seat| Some((DepartureReason::of(seat)?, *seat))).collect();
         departing.sort_by_key(|(reason, seat)| (*reason, seat.silence));
         departing.reverse();
         let departing: Vec<&SeatView> = departing.into_iter().map(|(_, seat)| seat).collect();
@@ -145,16 +133,6 @@
     }
 }
 
-fn departure(seat: &SeatView) -> Option<DepartureReason> {
-    if seat.successor.is_some() {
-        return Some(DepartureReason::DiskLost);
-    }
-    if seat.silence > VOTE_TIMEOUT {
-        return Some(DepartureReason::Silent);
-    }
-    seat.is_leaving.then_some(DepartureReason::Leaving)
-}
-
 /// Whether a learner can take over a vote.
 fn is_ready(seat: &SeatView) -> bool {
     let is_there = seat.silence < CONTACT_TIMEOUT && !seat.is_leaving && seat.successor.is_none();
