fix(gw-gateway): announcements of an earlier run are no sign of life of the present one

Seen: a target that has crashed stays registered, and gets requests, for as long as another writer repeats an entry under its id that says nothing of its start, or late announcements of an earlier run arrive.

Cause: an outdated announcement changed no record but was recorded as a contact, by name, and a follower reported the target to the leader as heard.

Change: an outdated announcement is acknowledged before anything is recorded.

Evidence: entries_without_a_start_are_no_sign_of_life failed before (the target was not removed within 30 s) and passes; odd_entries, target_departures and wire pass.

--- a/crates/gw-gateway/src/control/call_handler.rs
+++ b/crates/gw-gateway/src/control/call_handler.rs
@@ -139,6 +139,10 @@
             return reply;
         }
     }
+    if host.log.borrow().state().is_outdated(record) {
+        // No sign of life of a later run either.
+        return ControlReply::Accepted;
+    }
     let is_newest = host.monitor.borrow_mut().record_announcement(now, &announcement);
     if !is_newest {
         return ControlReply::Accepted;
@@ -148,11 +152,7 @@
     host.update_warm_up_limits();
     host.record_warmth(&announcement.record.holder(), announcement.warm_up_left, Duration::ZERO);
     let name = announcement.record.name.clone();
-    let is_known = {
-        let log = host.log.borrow();
-        let state = log.state();
-        state.is_outdated(&announcement.record) || state.target(&name) == Some(&announcement.record)
-    };
+    let is_known = host.log.borrow().state().target(&name) == Some(&announcement.record);
     if is_known {
         if !host.is_leader() {
             host.heard_targets.borrow_mut().insert(name);
