--- a/crates/gw-fleet/tests/seat_schedules.rs
+++ b/crates/gw-fleet/tests/seat_schedules.rs
@@ -28,9 +28,9 @@
 /// Longest time without a leader after all hosts are back.
 const RECOVERY_TIME: u64 = 15_000;
 
-struct Rng(u64);
+struct ScheduleRng(u64);
 
-impl Rng {
+impl ScheduleRng {
     fn between(&mut self, min: u64, max: u64) -> u64 {
         self.0 ^= self.0 << 13;
         self.0 ^= self.0 >> 7;
@@ -41,7 +41,7 @@
 
 /// A machine, whose address is its position in the list.
 #[derive(Clone)]
-struct Machine {
+struct ControlMachine {
     zone: usize,
     /// What the disk says; `None` if it is empty.
     replica: Option<HostId>,
@@ -61,35 +61,37 @@
     is_removed: bool,
 }
 
-/// What happens next, and when.
-enum Step {
+/// Something that was planned for a certain time.
+enum PlannedStep {
+    /// Tells a machine to stop, which is started again after so many milliseconds.
     Stop(usize, u64),
+    /// Empties the disk of a machine.
     Wipe(usize),
 }
 
-struct Group {
-    rng: Rng,
+struct VotingGroup {
+    rng: ScheduleRng,
     now: u64,
     policy: SeatPolicy,
     tolerance: FaultTolerance,
-    machines: Vec<Machine>,
+    machines: Vec<ControlMachine>,
     state: FleetState,
     voters: Vec<HostId>,
     learners: Vec<HostId>,
     leader: Option<usize>,
     elected_at: u64,
     led_at: u64,
-    planned: Vec<(u64, Step)>,
+    planned: Vec<(u64, PlannedStep)>,
     next_stop_at: u64,
     /// What has happened, for the message of a broken schedule.
     history: Vec<String>,
 }
 
-impl Group {
+impl VotingGroup {
     fn new(seed: u64, tolerance: FaultTolerance, hosts: usize, zones: usize) -> Self {
         let first = (0..hosts.min(3)).map(|host| HostId(host as u16 + 1)).collect();
         let mut group = Self {
-            rng: Rng(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1),
+            rng: ScheduleRng(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1),
             now: 0,
             policy: SeatPolicy::new(tolerance),
             tolerance,
@@ -121,7 +123,7 @@
 
     fn add_machine(&mut self, zone: usize, starts_at: u64) {
         self.record(format!("adds {} in zone {zone}", self.machines.len()));
-        self.machines.push(Machine {
+        self.machines.push(ControlMachine {
             zone,
             replica: None,
             up_since: None,
@@ -169,15 +171,15 @@
         let now = self.now;
         // Planned work waits while a host is lost, and stops one host after the other.
         let may_stop = self.lost_count() == 0 && now >= self.next_stop_at;
-        let is_due = |(at, step): &(u64, Step)| match step {
-            Step::Stop(..) => may_stop && *at <= now,
-            Step::Wipe(_) => *at <= now,
+        let is_due = |(at, step): &(u64, PlannedStep)| match step {
+            PlannedStep::Stop(..) => may_stop && *at <= now,
+            PlannedStep::Wipe(_) => *at <= now,
         };
         if let Some(position) = self.planned.iter().position(is_due) {
             let (_, step) = self.planned.remove(position);
             match step {
-                Step::Stop(index, back_in) => self.stop(index, back_in),
-                Step::Wipe(index) => self.machines[index].replica = None,
+                PlannedStep::Stop(index, back_in) => self.stop(index, back_in),
+                PlannedStep::Wipe(index) => self.machines[index].replica = None,
             }
         }
         for machine in &mut self.machines {
@@ -320,7 +322,7 @@
         let is_free = |index: &usize| {
             let machine = &self.machines[*index];
             let is_planned = self.planned.iter().any(|(_, step)| match step {
-                Step::Stop(planned, _) | Step::Wipe(planned) => planned == index,
+                PlannedStep::Stop(planned, _) | PlannedStep::Wipe(planned) => planned == index,
             });
             machine.up_since.is_some() && machine.ends_at.is_none() && !is_planned
         };
@@ -334,7 +336,7 @@
     /// Adds a successor of the machine `index` in its zone, and stops that one `wait` later.
     fn move_host(&mut self, index: usize, wait: u64) {
         self.add_machine(self.machines[index].zone, self.now);
-        self.planned.push((self.now + wait, Step::Stop(index, u64::MAX)));
+        self.planned.push((self.now + wait, PlannedStep::Stop(index, u64::MAX)));
     }
 
     /// Begins a disruption that keeps within the tolerance.
@@ -383,8 +385,8 @@
         }
     }
 
-    fn crash_all(&mut self, back_in: u64, is_meant: impl Fn(&Machine) -> bool) {
-        let is_hit = |machine: &Machine| machine.up_since.is_some() && is_meant(machine);
+    fn crash_all(&mut self, back_in: u64, is_meant: impl Fn(&ControlMachine) -> bool) {
+        let is_hit = |machine: &ControlMachine| machine.up_since.is_some() && is_meant(machine);
         let hit: Vec<usize> =
             (0..self.machines.len()).filter(|index| is_hit(&self.machines[*index])).collect();
         for index in hit {
@@ -403,7 +405,7 @@
 }
 
 /// Plays losses that keep within the tolerance. Returns what was broken, and when.
-fn play_within(mut group: Group, zones: usize) -> Result<(), String> {
+fn play_within(mut group: VotingGroup, zones: usize) -> Result<(), String> {
     (0..8_000 / STEP).for_each(|_| group.step());
     let mut next_at = group.now;
     while group.now < SCHEDULE_TIME {
@@ -424,7 +426,7 @@
 }
 
 /// Plays losses that overlap beyond the tolerance, with as many lost disks as it allows.
-fn play_overlapping(mut group: Group) -> Result<(), String> {
+fn play_overlapping(mut group: VotingGroup) -> Result<(), String> {
     (0..8_000 / STEP).for_each(|_| group.step());
     let mut disks = group.tolerance.hosts;
     for _ in 0..group.rng.between(3, 8) {
@@ -435,7 +437,7 @@
             (Some(index), 3) if disks > 0 => {
                 disks -= 1;
                 group.crash(index, back_in);
-                group.planned.push((group.now, Step::Wipe(index)));
+                group.planned.push((group.now, PlannedStep::Wipe(index)));
             }
             (_, 4) => {
                 let zone = group.rng.between(0, 4) as usize;
@@ -477,7 +479,7 @@
     let mut broken = Vec::new();
     for case in cases {
         let tolerance = FaultTolerance { hosts: case.tolerated, zones: 1 };
-        let group = |seed| Group::new(seed, tolerance, case.hosts, case.zones);
+        let group = |seed| VotingGroup::new(seed, tolerance, case.hosts, case.zones);
         for seed in first..first + setting("GW_SCHEDULES", DEFAULT_SCHEDULES) {
             let within = play_within(group(seed), case.zones);
             let overlapping = play_overlapping(group(seed));
